feat(base): add the build, the base layer and the design page

Cause: an empty repository; the modules need a common frame before they are written. Ruled out: a generated build per module; sources are found by folder instead. Conclusion: interfaces of records, messages and settings are fixed first so that the parts can be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Plain front to CMake. `make test` and `make demo` work on a fresh Debian 12.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps build asan test demo bench capacity lint format clean
+
+all: build
+
+deps:
+	scripts/install_deps
+
+build: deps
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+asan: deps
+	cmake -S . -B $(BUILD)-asan -G Ninja -DCMAKE_BUILD_TYPE=Debug -DJACKDAW_SANITIZE=ON >/dev/null
+	cmake --build $(BUILD)-asan -j $(JOBS)
+
+test: build asan
+	scripts/run_tests $(BUILD) $(BUILD)-asan
+
+demo: build
+	scripts/demo $(BUILD)
+
+bench: build
+	scripts/bench $(BUILD)
+
+capacity: build
+	scripts/capacity $(BUILD)
+
+lint: deps
+	scripts/lint
+
+format: deps
+	git ls-files -co --exclude-standard '*.c' '*.h' | xargs clang-format -i
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-asan
--- /dev/null
+++ b/src/base/invariant.c
@@ -0,0 +1,30 @@
+#include "base/invariant.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+static jd_invariant_handler_t installed_handler;
+static void *installed_context;
+
+/* Replaces the abort on a broken invariant, so that tests can show that a check
+ * finds a planted violation. NULL restores the abort. */
+void
+jd_invariant_set_handler (jd_invariant_handler_t handler, void *context)
+{
+  installed_handler = handler;
+  installed_context = context;
+}
+
+/* Reports a broken invariant and aborts unless a handler is installed. */
+void
+jd_invariant_failed (const char *rule, const char *condition, const char *file, int line)
+{
+  if (installed_handler)
+    {
+      installed_handler (installed_context, rule, condition, file, line);
+      return;
+    }
+  fprintf (stderr, "event=invariant_failed rule=%s condition=\"%s\" at=%s:%d\n", rule,
+           condition, file, line);
+  abort ();
+}
--- /dev/null
+++ b/src/base/invariant.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/* Checks a rule of docs/proof.md. Stays on in release builds. The rule is the bare
+ * name of an invariant, for example rate_limit. */
+#define JD_INVARIANT(rule, condition)                                                    \
+  do                                                                                     \
+    {                                                                                    \
+      if (!(condition))                                                                  \
+        jd_invariant_failed (#rule, #condition, __FILE__, __LINE__);                     \
+    }                                                                                    \
+  while (0)
+
+typedef void (*jd_invariant_handler_t) (void *context, const char *rule,
+                                        const char *condition, const char *file,
+                                        int line);
+
+void jd_invariant_set_handler (jd_invariant_handler_t handler, void *context);
+void jd_invariant_failed (const char *rule, const char *condition, const char *file,
+                          int line);
--- /dev/null
+++ b/src/base/log_event.c
@@ -0,0 +1,82 @@
+#include "base/log_event.h"
+
+#include <stdio.h>
+
+#include "base/clock.h"
+
+static char *log_program;
+static char *log_seat;
+static GLogLevelFlags log_lowest_level = G_LOG_LEVEL_INFO;
+
+/* Returns the name of a level in log lines. */
+static const char *
+level_name (GLogLevelFlags level)
+{
+  if (level & G_LOG_LEVEL_ERROR)
+    return "fatal";
+  if (level & G_LOG_LEVEL_CRITICAL)
+    return "error";
+  if (level & G_LOG_LEVEL_WARNING)
+    return "warning";
+  if (level & (G_LOG_LEVEL_MESSAGE | G_LOG_LEVEL_INFO))
+    return "info";
+  return "debug";
+}
+
+/* GLib log writer: prints one key=value line per message to standard error. */
+static GLogWriterOutput
+write_line (GLogLevelFlags level, const GLogField *fields, gsize count,
+            gpointer user_data)
+{
+  /* GLib numbers lower levels higher. */
+  if ((level & G_LOG_LEVEL_MASK) > log_lowest_level)
+    return G_LOG_WRITER_HANDLED;
+  const char *message = "";
+  for (gsize i = 0; i < count; i++)
+    {
+      if (g_strcmp0 (fields[i].key, "MESSAGE") == 0)
+        message = fields[i].value;
+    }
+  int64_t now_us = jd_wall_time_us ();
+  fprintf (stderr, "time=%" G_GINT64_FORMAT ".%06d level=%s program=%s seat=%s %s\n",
+           now_us / JD_US_PER_S, (int)(now_us % JD_US_PER_S), level_name (level),
+           log_program ? log_program : "-", log_seat ? log_seat : "-", message);
+  return G_LOG_WRITER_HANDLED;
+}
+
+/* Sends all GLib log messages of this process to standard error as key=value lines.
+ * Call once, before threads start. */
+void
+jd_log_install (const char *program, const char *seat, GLogLevelFlags lowest_level)
+{
+  log_program = g_strdup (program);
+  log_seat = g_strdup (seat);
+  log_lowest_level = lowest_level;
+  g_log_set_writer_func (write_line, NULL, NULL);
+}
+
+/* Logs one event. The format gives the key=value pairs; texts that may hold spaces go
+ * through jd_log_quote. */
+void
+jd_log_event (GLogLevelFlags level, const char *event, const char *format, ...)
+{
+  if (level > log_lowest_level)
+    return;
+  va_list arguments;
+  va_start (arguments, format);
+  char *pairs = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  g_log_structured ("jackdaw", level, "MESSAGE", "event=%s %s", event, pairs);
+  g_free (pairs);
+}
+
+/* Returns a text in double quotes with quotes, backslashes and control characters
+ * escaped; free with g_free. */
+char *
+jd_log_quote (const char *text)
+{
+  char *escaped = g_strescape (text ? text : "", NULL);
+  char *quoted = g_strdup_printf ("\"%s\"", escaped);
+  g_free (escaped);
+  return quoted;
+}
--- /dev/null
+++ b/src/base/log_event.h
@@ -0,0 +1,8 @@
+#pragma once
+
+#include <glib.h>
+
+void jd_log_install (const char *program, const char *seat, GLogLevelFlags lowest_level);
+void jd_log_event (GLogLevelFlags level, const char *event, const char *format, ...)
+    G_GNUC_PRINTF (3, 4);
+char *jd_log_quote (const char *text);
--- /dev/null
+++ b/src/config/drain_record.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "config/record.h"
+
+/* The published "zones" record: the zones that are out of service. */
+typedef struct jd_zone_state_record
+{
+  jd_record_head_t head;
+  GHashTable *zones_out; /* set of zone names */
+} jd_zone_state_record_t;
+
+/* The published "hosts" record: draining seats and leaving targets. */
+typedef struct jd_host_state_record
+{
+  jd_record_head_t head;
+  GHashTable *draining_seats;  /* set of seat names */
+  GHashTable *leaving_targets; /* set of target ids */
+} jd_host_state_record_t;
+
+jd_zone_state_record_t *jd_zone_state_record_parse (const char *name, const char *text,
+                                                    size_t length, GError **error);
+jd_zone_state_record_t *jd_zone_state_record_ref (jd_zone_state_record_t *record);
+void jd_zone_state_record_unref (jd_zone_state_record_t *record);
+
+jd_host_state_record_t *jd_host_state_record_parse (const char *name, const char *text,
+                                                    size_t length, GError **error);
+jd_host_state_record_t *jd_host_state_record_ref (jd_host_state_record_t *record);
+void jd_host_state_record_unref (jd_host_state_record_t *record);
--- /dev/null
+++ b/src/config/fleet_record.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "config/record.h"
+
+typedef enum jd_role
+{
+  JD_ROLE_ENTRY,
+  JD_ROLE_BROKER,
+} jd_role_t;
+
+typedef struct jd_seat_record
+{
+  char *name;
+  char *address; /* "IP:port" of the seat's ROUTER socket. */
+} jd_seat_record_t;
+
+/* A failure-detection group: the seats of one role in one zone, or a part of them. */
+typedef struct jd_cell_record
+{
+  char *name;
+  char *zone;
+  jd_role_t role;
+  jd_seat_record_t *seats; /* The first one breaks ties of a quorum. */
+  uint32_t seat_count;
+} jd_cell_record_t;
+
+typedef struct jd_zone_record
+{
+  char *name;
+  double weight; /* Part of every organisation's rate; the sum is at most 1. */
+} jd_zone_record_t;
+
+/* The published fleet. Immutable and reference counted. */
+typedef struct jd_fleet_record
+{
+  jd_record_head_t head;
+  uint32_t shares_per_zone;
+  jd_zone_record_t *zones;
+  uint32_t zone_count;
+  jd_cell_record_t *cells;
+  uint32_t cell_count;
+} jd_fleet_record_t;
+
+jd_fleet_record_t *jd_fleet_record_parse (const char *name, const char *text,
+                                          size_t length, GError **error);
+jd_fleet_record_t *jd_fleet_record_ref (jd_fleet_record_t *record);
+void jd_fleet_record_unref (jd_fleet_record_t *record);
+const jd_cell_record_t *jd_fleet_record_cell_of_seat (const jd_fleet_record_t *record,
+                                                      const char *seat);
+const jd_zone_record_t *jd_fleet_record_zone (const jd_fleet_record_t *record,
+                                              const char *zone);
--- /dev/null
+++ b/src/config/organisation_record.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "config/record.h"
+
+/* What a host does with an organisation's keys when it cannot confirm them. */
+typedef enum jd_stale_keys
+{
+  JD_STALE_KEYS_READS_ONLY,
+  JD_STALE_KEYS_SERVE,
+  JD_STALE_KEYS_REFUSE,
+} jd_stale_keys_t;
+
+typedef struct jd_organisation
+{
+  char *id;
+  double rate_per_s;
+  double burst;
+  jd_stale_keys_t on_stale_keys;
+} jd_organisation_t;
+
+/* The published organisations. Immutable and reference counted. */
+typedef struct jd_organisation_record
+{
+  jd_record_head_t head;
+  jd_organisation_t *organisations;
+  uint32_t organisation_count;
+} jd_organisation_record_t;
+
+jd_organisation_record_t *jd_organisation_record_parse (const char *name,
+                                                        const char *text, size_t length,
+                                                        GError **error);
+jd_organisation_record_t *jd_organisation_record_ref (jd_organisation_record_t *record);
+void jd_organisation_record_unref (jd_organisation_record_t *record);
+const jd_organisation_t *
+jd_organisation_record_find (const jd_organisation_record_t *record, const char *id);
--- /dev/null
+++ b/src/routing/work_defs.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <stdint.h>
+
+#include "base/name.h"
+#include "base/result_code.h"
+
+typedef enum jd_work_kind
+{
+  JD_WORK_SEARCH = 0,
+  JD_WORK_FETCH = 1,
+  JD_WORK_EDIT = 2, /* May not be repeated. */
+} jd_work_kind_t;
+
+/* One request to one target. */
+typedef struct jd_work_item
+{
+  uint64_t attempt_id; /* Unique over all attempts of one entry incarnation. */
+  jd_name_t target;
+  jd_name_t shard;
+} jd_work_item_t;
+
+/* A batch of attempts of one query for the targets of one broker. */
+typedef struct jd_work
+{
+  uint64_t query_id;
+  jd_work_kind_t kind;
+  jd_name_t organisation; /* Empty on open routes. */
+  jd_name_t service;
+  uint64_t snapshot; /* 0: any. */
+  uint64_t map_version;
+  int64_t deadline_us; /* Clock of the receiving broker. */
+  uint32_t limit;      /* Most hits wanted. */
+  char *text;          /* Query text of a search, entry id of a fetch or an edit. */
+  char *body;          /* Body of an edit, else NULL. */
+  uint32_t body_bytes;
+  uint32_t item_count;
+  jd_work_item_t *items;
+} jd_work_t;
+
+typedef struct jd_hit
+{
+  char *id;
+  double score;
+  char *body; /* JSON text. */
+} jd_hit_t;
+
+/* The end of one attempt. */
+typedef struct jd_work_outcome
+{
+  uint64_t attempt_id;
+  jd_name_t target;
+  jd_name_t shard;
+  jd_result_code_t code;
+  jd_ran_t ran;
+  uint64_t snapshot;
+  int64_t service_us; /* From the write to the whole reply; 0 if nothing was sent. */
+  int64_t queue_us;   /* Wait at the broker. */
+  uint32_t hit_count;
+  jd_hit_t *hits; /* Best first. */
+} jd_work_outcome_t;
+
+typedef struct jd_work_result
+{
+  uint64_t query_id;
+  int64_t broker_clock_us;
+  uint32_t outcome_count;
+  jd_work_outcome_t *outcomes;
+} jd_work_result_t;
+
+/* What a broker says about one of its targets. */
+typedef struct jd_target_status
+{
+  jd_name_t target;
+  uint32_t limit; /* Attempts that it may have in flight now. */
+  uint32_t in_flight;
+  uint32_t queued;
+  uint8_t cold;
+  uint8_t draining;
+  uint32_t snapshot_count;
+  uint64_t snapshots[4]; /* Newest first. */
+} jd_target_status_t;
+
+void jd_work_clear (jd_work_t *work);
+void jd_work_result_clear (jd_work_result_t *result);
+void jd_work_outcome_clear (jd_work_outcome_t *outcome);
--- /dev/null
+++ b/test/support/test_main.c
@@ -0,0 +1,21 @@
+#include "support/test_main.h"
+
+/* Registers and runs all cases; any failed assertion or registry error gives
+ * EXIT_FAILURE. */
+int
+jd_test_run (const char *suite, const jd_test_case_t *cases, uint32_t count)
+{
+  if (CU_initialize_registry () != CUE_SUCCESS)
+    return EXIT_FAILURE;
+  CU_pSuite added = CU_add_suite (suite, NULL, NULL);
+  for (uint32_t i = 0; added && i < count; i++)
+    {
+      if (!CU_add_test (added, cases[i].name, cases[i].run))
+        return EXIT_FAILURE;
+    }
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_ErrorCode run = CU_basic_run_tests ();
+  unsigned failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return run == CUE_SUCCESS && failures == 0 && count > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
