--- a/src/config/settings.c
+++ b/src/config/settings.c
@@ -224,10 +224,12 @@
 jd_settings_load (jd_settings_program_t *program, int argc, char **argv)
 {
   flag_table_t table = flag_table_new (program);
-  if (arg_nullcheck (table.entries) != 0)
-    return JD_SETTINGS_EXIT_ERROR;
-  int errors = arg_parse (argc, argv, table.entries);
-  jd_settings_outcome_t outcome = serve_or_load (program, &table, errors);
+  jd_settings_outcome_t outcome = JD_SETTINGS_EXIT_ERROR;
+  if (arg_nullcheck (table.entries) == 0)
+    {
+      int errors = arg_parse (argc, argv, table.entries);
+      outcome = serve_or_load (program, &table, errors);
+    }
   arg_freetable (table.entries, table.entry_count);
   g_free (table.entries);
   return outcome;
