--- /dev/null
+++ b/src/config/access.c
@@ -0,0 +1,87 @@
+#include "config/access.h"
+
+#include <string.h>
+
+/* Applies an organisation's choice for keys that cannot be confirmed. */
+static jd_result_code_t
+check_staleness (jd_config_store_t *store, const jd_access_request_t *request,
+                 const char *organisation)
+{
+  gboolean stale =
+      request->key_age_us < 0 || request->key_age_us > request->key_staleness_limit_us;
+  if (!stale)
+    return JD_OK;
+  jd_organisation_record_t *record = jd_config_store_organisations (store);
+  const jd_organisation_t *found =
+      record ? jd_organisation_record_find (record, organisation) : NULL;
+  jd_stale_keys_t policy = found ? found->on_stale_keys : JD_STALE_KEYS_REFUSE;
+  if (record)
+    jd_organisation_record_unref (record);
+  if (policy == JD_STALE_KEYS_SERVE)
+    return JD_OK;
+  if (policy == JD_STALE_KEYS_READS_ONLY && !request->is_edit)
+    return JD_OK;
+  return JD_KEY_STATE_STALE;
+}
+
+/* Maps the key of a request to its organisation. */
+static jd_result_code_t
+check_key (jd_config_store_t *store, const jd_access_request_t *request,
+           jd_access_t *access)
+{
+  if (!request->key || !*request->key)
+    return JD_KEY_MISSING;
+  jd_key_record_t *keys = jd_config_store_keys (store);
+  if (!keys)
+    return JD_NO_CONFIGURATION;
+  jd_result_code_t code = JD_OK;
+  const jd_key_t *key = jd_key_record_find (keys, request->key);
+  if (!key)
+    code = JD_KEY_UNKNOWN;
+  else if (key->revoked)
+    code = JD_KEY_REVOKED;
+  else
+    {
+      g_strlcpy (access->organisation, key->organisation, sizeof (access->organisation));
+      g_strlcpy (access->digest, key->digest, sizeof (access->digest));
+    }
+  jd_key_record_unref (keys);
+  return code == JD_OK ? check_staleness (store, request, access->organisation) : code;
+}
+
+/* Decides whether a request may run and for which organisation. Returns JD_OK or the
+ * refusal. */
+jd_result_code_t
+jd_access_check (jd_config_store_t *store, const jd_access_request_t *request,
+                 jd_access_t *access)
+{
+  *access = (jd_access_t){ 0 };
+  jd_service_record_t *service = jd_config_store_service (store, request->service);
+  if (!service)
+    return jd_config_store_version (store, "fleet") ? JD_UNKNOWN_SERVICE
+                                                    : JD_NO_CONFIGURATION;
+  jd_result_code_t code = JD_OK;
+  if (!service->open)
+    code = check_key (store, request, access);
+  if (code == JD_OK && !service->open &&
+      !jd_service_record_allows (service, access->organisation))
+    code = JD_NOT_ALLOWED;
+  jd_service_record_unref (service);
+  return code;
+}
+
+/* Returns whether the key of a running request is still published as valid. */
+gboolean
+jd_access_still_valid (jd_config_store_t *store, const jd_access_t *access)
+{
+  if (!*access->digest)
+    return TRUE;
+  jd_key_record_t *keys = jd_config_store_keys (store);
+  if (!keys)
+    return FALSE;
+  const jd_key_t *key = g_hash_table_lookup (keys->by_digest, access->digest);
+  gboolean valid =
+      key && !key->revoked && strcmp (key->organisation, access->organisation) == 0;
+  jd_key_record_unref (keys);
+  return valid;
+}
