--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -42,3 +42,13 @@
 jd_host_state_record_t *jd_config_store_hosts (jd_config_store_t *store);
 jd_service_record_t *jd_config_store_service (jd_config_store_t *store,
                                               const char *service);
+
+/* Grows with every adoption, so that callers see cheaply whether anything changed. */
+uint64_t jd_config_store_generation (jd_config_store_t *store);
+
+/* Visits all records, including deleted ones, under the lock of the store. Equal
+ * contents have equal hashes, whatever their layout. */
+typedef void (*jd_config_store_visit_t) (void *context, const char *name,
+                                         uint64_t version, uint64_t content_hash);
+void jd_config_store_each (jd_config_store_t *store, jd_config_store_visit_t visit,
+                           void *context);
--- a/src/config/record.h
+++ b/src/config/record.h
@@ -6,7 +6,7 @@
 
 #define JD_RECORD_SCHEMA_MIN 1
 #define JD_RECORD_SCHEMA_MAX 2
-#define JD_RECORD_MAX_BYTES (1024 * 1024)
+#define JD_RECORD_MAX_BYTES ((size_t)1024 * 1024)
 
 #define JD_RECORD_ERROR (jd_record_error_quark ())
 GQuark jd_record_error_quark (void);
