feat(limits): add the rate limiter as a state machine

Cause: the rate and burst of an organisation must hold over all entry processes, which fail, pause and lose messages (docs/design.md, 4.3). Ruled out: a time stamp on each message call; a reading made before the receipt would let an expired grant in, so messages wait for the next tick. Making up for generation that a grant in flight had blocked; expiries are applied in order of time. Spending excess tokens at once; the sender counts them until they expire, so they may be kept as long. Conclusion: one facade, rate_limiter.h, drives share, exchange and admission queue of each organisation.

--- /dev/null
+++ b/src/limits/admission.c
@@ -0,0 +1,100 @@
+#include "limits/admission.h"
+
+#include <glib.h>
+
+/* Prepares an empty queue of at most limit requests. */
+void
+jd_admission_queue_init (jd_admission_queue_t *queue, uint32_t limit)
+{
+  *queue = (jd_admission_queue_t){ .limit = limit };
+  queue->items = g_new0 (jd_waiting_request_t, limit ? limit : 1);
+}
+
+/* Frees the queue's memory. */
+void
+jd_admission_queue_clear (jd_admission_queue_t *queue)
+{
+  g_clear_pointer (&queue->items, g_free);
+  queue->count = 0;
+}
+
+/* Returns the request at a position counted from the front. */
+static jd_waiting_request_t *
+at (const jd_admission_queue_t *queue, uint32_t position)
+{
+  return &queue->items[(queue->first + position) % queue->limit];
+}
+
+/* Adds a request at the end. Returns false when the queue is full. */
+bool
+jd_admission_queue_push (jd_admission_queue_t *queue, jd_waiting_request_t request)
+{
+  if (queue->count == queue->limit)
+    return false;
+  *at (queue, queue->count++) = request;
+  return true;
+}
+
+/* Removes the first request. Returns false when the queue is empty. */
+bool
+jd_admission_queue_pop (jd_admission_queue_t *queue, jd_waiting_request_t *request)
+{
+  if (queue->count == 0)
+    return false;
+  *request = *at (queue, 0);
+  queue->first = (queue->first + 1) % queue->limit;
+  queue->count--;
+  return true;
+}
+
+/* Removes the request at a position and keeps the order of the others. */
+static void
+remove_at (jd_admission_queue_t *queue, uint32_t position)
+{
+  for (uint32_t i = position; i + 1 < queue->count; i++)
+    *at (queue, i) = *at (queue, i + 1);
+  queue->count--;
+}
+
+/* Removes one request that waited to its end. Returns false when there is none. */
+bool
+jd_admission_queue_pop_expired (jd_admission_queue_t *queue, int64_t now_us,
+                                jd_waiting_request_t *request)
+{
+  for (uint32_t i = 0; i < queue->count; i++)
+    {
+      if (at (queue, i)->expires_at_us > now_us)
+        continue;
+      *request = *at (queue, i);
+      remove_at (queue, i);
+      return true;
+    }
+  return false;
+}
+
+/* Removes a request that its caller gave up. Returns false when it does not wait. */
+bool
+jd_admission_queue_remove (jd_admission_queue_t *queue, uint64_t request_id)
+{
+  for (uint32_t i = 0; i < queue->count; i++)
+    {
+      if (at (queue, i)->request_id != request_id)
+        continue;
+      remove_at (queue, i);
+      return true;
+    }
+  return false;
+}
+
+/* Returns when the first of the waiting requests expires, INT64_MAX without one. */
+int64_t
+jd_admission_queue_first_expiry_us (const jd_admission_queue_t *queue)
+{
+  int64_t first_us = INT64_MAX;
+  for (uint32_t i = 0; i < queue->count; i++)
+    {
+      if (at (queue, i)->expires_at_us < first_us)
+        first_us = at (queue, i)->expires_at_us;
+    }
+  return first_us;
+}
--- /dev/null
+++ b/src/limits/demand_estimate.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <stdint.h>
+
+/* Requests per second of one organisation at one process, with decaying weight. All
+ * zero is no demand. */
+typedef struct jd_demand_estimate
+{
+  int64_t weight_microtokens;
+  int64_t updated_at_us;
+} jd_demand_estimate_t;
+
+void jd_demand_estimate_add (jd_demand_estimate_t *demand, int64_t now_us,
+                             int64_t window_us);
+int64_t jd_demand_estimate_per_s (const jd_demand_estimate_t *demand, int64_t now_us,
+                                  int64_t window_us);
--- /dev/null
+++ b/src/limits/rate_limiter.c
@@ -0,0 +1,408 @@
+#include "limits/rate_limiter.h"
+
+#include <glib.h>
+
+#include "base/clock.h"
+#include "limits/token_inbox.h"
+
+/* Waiting requests decided per organisation and turn, so that a long queue does not
+ * delay the decisions of other organisations. */
+#define DECISIONS_PER_TURN 4
+
+struct jd_rate_limiter
+{
+  jd_rate_settings_t settings;
+  jd_rate_actions_t actions;
+  jd_rng_t rng;
+  GPtrArray *organisations;
+  GHashTable *by_name;
+  jd_token_peers_t peers;
+  jd_token_inbox_t inbox;
+  uint32_t owned_shares;
+  int64_t valid_until_us;
+  int64_t now_us; /* Latest reading. */
+  uint32_t first_turn;
+};
+
+/* Returns the organisation at a position. */
+static jd_organisation_limit_t *
+organisation_at (const jd_rate_limiter_t *limiter, uint32_t index)
+{
+  return g_ptr_array_index (limiter->organisations, index);
+}
+
+/* Sets the owned shares of every organisation. */
+static void
+apply_shares (jd_rate_limiter_t *limiter, uint32_t owned_shares)
+{
+  limiter->owned_shares = owned_shares;
+  for (uint32_t i = 0; i < limiter->organisations->len; i++)
+    jd_rate_share_set_owned (&organisation_at (limiter, i)->share, limiter->now_us,
+                             owned_shares);
+}
+
+/* Notes a clock reading; all own tokens are discarded when the lease is over. Returns
+ * the time that counts: an older reading than the last one does not turn time back. */
+static int64_t
+enter (jd_rate_limiter_t *limiter, int64_t now_us)
+{
+  limiter->now_us = MAX (limiter->now_us, now_us);
+  if (limiter->owned_shares > 0 && limiter->now_us > limiter->valid_until_us)
+    apply_shares (limiter, 0);
+  return limiter->now_us;
+}
+
+/* Creates a limiter without organisations, shares and peers. The settings are copied;
+ * the random numbers become nonces of asks and must differ between processes. */
+jd_rate_limiter_t *
+jd_rate_limiter_new (const jd_rate_settings_t *settings, const jd_rate_actions_t *actions,
+                     jd_rng_t rng)
+{
+  jd_rate_limiter_t *limiter = g_new0 (jd_rate_limiter_t, 1);
+  limiter->settings = *settings;
+  limiter->actions = *actions;
+  limiter->rng = rng;
+  limiter->organisations = g_ptr_array_new_with_free_func (jd_organisation_limit_free);
+  limiter->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  limiter->now_us = INT64_MIN;
+  jd_token_inbox_init (&limiter->inbox);
+  return limiter;
+}
+
+/* Frees a limiter. Waiting requests get no decision. */
+void
+jd_rate_limiter_free (jd_rate_limiter_t *limiter)
+{
+  g_hash_table_unref (limiter->by_name);
+  g_ptr_array_unref (limiter->organisations);
+  jd_token_inbox_clear (&limiter->inbox);
+  g_free (limiter->peers.items);
+  g_free (limiter);
+}
+
+/* Computes what peers are assumed to own: an equal part of the zone's shares. */
+static void
+set_typical (jd_rate_limiter_t *limiter, jd_organisation_limit_t *organisation)
+{
+  int64_t entries = 1;
+  for (uint32_t i = 0; i < limiter->peers.count; i++)
+    entries += limiter->peers.items[i].same_zone;
+  int64_t shares = limiter->settings.shares_per_zone;
+  const jd_share_rate_t *rate = &organisation->share.current;
+  organisation->exchange.typical_capacity = rate->burst * shares / entries;
+  organisation->exchange.typical_generation = rate->rate_per_s * shares / entries;
+}
+
+/* Adds an organisation that was not published before. */
+static jd_organisation_limit_t *
+add_organisation (jd_rate_limiter_t *limiter, const jd_organisation_rate_t *rate)
+{
+  jd_organisation_limit_t *added = jd_organisation_limit_new (
+      rate->name, &limiter->settings, rate->share, limiter->now_us);
+  jd_rate_share_set_owned (&added->share, limiter->now_us, limiter->owned_shares);
+  jd_token_peers_t none = { 0 };
+  jd_token_exchange_set_peers (&added->exchange, &none, &limiter->peers, limiter->now_us);
+  g_ptr_array_add (limiter->organisations, added);
+  g_hash_table_insert (limiter->by_name, added->name, added);
+  return added;
+}
+
+/* Refuses all waiting requests of an organisation. */
+static void
+refuse_waiting (jd_rate_limiter_t *limiter, jd_organisation_limit_t *organisation)
+{
+  jd_waiting_request_t request;
+  while (jd_admission_queue_pop (&organisation->queue, &request))
+    limiter->actions.decided (limiter->actions.context, request.request_id, false,
+                              limiter->now_us);
+}
+
+/* Replaces the published organisations. Reductions are in force at once, raises after
+ * raise_delay_us, removed organisations get no more work. */
+void
+jd_rate_limiter_set_organisations (jd_rate_limiter_t *limiter, int64_t now_us,
+                                   const jd_organisation_rate_t *rates, uint32_t count)
+{
+  now_us = enter (limiter, now_us);
+  for (uint32_t i = 0; i < limiter->organisations->len; i++)
+    organisation_at (limiter, i)->published = false;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      jd_organisation_limit_t *known =
+          g_hash_table_lookup (limiter->by_name, rates[i].name);
+      if (known)
+        jd_rate_share_set_rate (&known->share, now_us, rates[i].share,
+                                limiter->settings.raise_delay_us);
+      else
+        known = add_organisation (limiter, &rates[i]);
+      known->published = true;
+      set_typical (limiter, known);
+    }
+  for (uint32_t i = limiter->organisations->len; i > 0; i--)
+    {
+      jd_organisation_limit_t *organisation = organisation_at (limiter, i - 1);
+      if (organisation->published)
+        continue;
+      refuse_waiting (limiter, organisation);
+      g_hash_table_remove (limiter->by_name, organisation->name);
+      g_ptr_array_remove_index (limiter->organisations, i - 1);
+    }
+}
+
+/* Replaces the peers that are asked for tokens. */
+void
+jd_rate_limiter_set_peers (jd_rate_limiter_t *limiter, int64_t now_us,
+                           const jd_token_peer_t *peers, uint32_t count)
+{
+  now_us = enter (limiter, now_us);
+  jd_token_peers_t before = limiter->peers;
+  limiter->peers = (jd_token_peers_t){ .count = count };
+  limiter->peers.items = g_new0 (jd_token_peer_t, count + 1);
+  for (uint32_t i = 0; i < count; i++)
+    limiter->peers.items[i] = peers[i];
+  for (uint32_t i = 0; i < limiter->organisations->len; i++)
+    {
+      jd_organisation_limit_t *organisation = organisation_at (limiter, i);
+      jd_token_exchange_set_peers (&organisation->exchange, &before, &limiter->peers,
+                                   now_us);
+      set_typical (limiter, organisation);
+    }
+  g_free (before.items);
+}
+
+/* Tells how many shares of its zone this process owns from now on and until when its
+ * lease is valid without further notice. Called again at each change and renewal. */
+void
+jd_rate_limiter_set_shares (jd_rate_limiter_t *limiter, int64_t now_us,
+                            uint32_t owned_shares, int64_t valid_until_us)
+{
+  enter (limiter, now_us);
+  limiter->valid_until_us = valid_until_us;
+  if (limiter->now_us > valid_until_us)
+    owned_shares = 0;
+  if (owned_shares != limiter->owned_shares)
+    apply_shares (limiter, owned_shares);
+}
+
+/* Counts the organisations with recent demand, which share the ask budget. */
+static uint32_t
+count_asking (const jd_rate_limiter_t *limiter)
+{
+  uint32_t asking = 0;
+  for (uint32_t i = 0; i < limiter->organisations->len; i++)
+    {
+      const jd_organisation_limit_t *organisation = organisation_at (limiter, i);
+      asking += organisation->queue.count > 0 ||
+                limiter->now_us - organisation->demand.updated_at_us < JD_US_PER_S;
+    }
+  return asking;
+}
+
+/* Sends asks for the tokens that one organisation is short of. */
+static void
+ask_peers (jd_rate_limiter_t *limiter, jd_organisation_limit_t *organisation)
+{
+  int64_t now_us = limiter->now_us;
+  jd_token_exchange_t *exchange = &organisation->exchange;
+  jd_token_exchange_expire (exchange, now_us);
+  int64_t wanted = jd_organisation_limit_wanted (organisation, now_us);
+  if (wanted <= 0)
+    return;
+  jd_token_exchange_refill_budget (exchange, now_us, count_asking (limiter));
+  while (wanted > 0)
+    {
+      int64_t amount = 0;
+      int32_t peer =
+          jd_token_exchange_choose (exchange, &limiter->peers, now_us, wanted, &amount);
+      if (peer < 0)
+        return;
+      jd_token_ask_t ask = jd_token_exchange_open (exchange, (uint32_t)peer, amount,
+                                                   jd_rng_next (&limiter->rng), now_us);
+      g_strlcpy (ask.organisation, organisation->name, sizeof (ask.organisation));
+      limiter->actions.send_ask (limiter->actions.context,
+                                 limiter->peers.items[peer].name, &ask);
+      wanted -= amount;
+    }
+}
+
+/* Requests admission of one piece of work. The result WAITING is followed by the
+ * decided callback within the admission wait, unless the request is cancelled. */
+jd_admission_t
+jd_rate_limiter_request (jd_rate_limiter_t *limiter, int64_t now_us, uint64_t request_id,
+                         const char *organisation, int64_t deadline_us)
+{
+  now_us = enter (limiter, now_us);
+  jd_organisation_limit_t *known = g_hash_table_lookup (limiter->by_name, organisation);
+  if (!known)
+    return JD_ADMISSION_REFUSED;
+  jd_admission_t result =
+      jd_organisation_limit_request (known, now_us, request_id, deadline_us);
+  if (result != JD_ADMISSION_REFUSED)
+    ask_peers (limiter, known);
+  return result;
+}
+
+/* Forgets a waiting request whose caller is gone. Returns false when it was not
+ * waiting. */
+bool
+jd_rate_limiter_cancel (jd_rate_limiter_t *limiter, uint64_t request_id,
+                        const char *organisation)
+{
+  jd_organisation_limit_t *known = g_hash_table_lookup (limiter->by_name, organisation);
+  return known && jd_admission_queue_remove (&known->queue, request_id);
+}
+
+/* Puts an ask aside until the next tick. */
+void
+jd_rate_limiter_on_token_ask (jd_rate_limiter_t *limiter, const char *from,
+                              const jd_token_ask_t *ask)
+{
+  jd_token_inbox_put_ask (&limiter->inbox, from, ask);
+}
+
+/* Puts a grant aside until the next tick. */
+void
+jd_rate_limiter_on_token_grant (jd_rate_limiter_t *limiter, const char *from,
+                                const jd_token_grant_t *grant)
+{
+  jd_token_inbox_put_grant (&limiter->inbox, from, grant);
+}
+
+/* Credits a grant that is in time. */
+static void
+take_grant (jd_rate_limiter_t *limiter, const char *from, const jd_token_grant_t *grant)
+{
+  jd_organisation_limit_t *known =
+      g_hash_table_lookup (limiter->by_name, grant->organisation);
+  if (!known)
+    return;
+  jd_rate_share_advance (&known->share, limiter->now_us);
+  int32_t peer = jd_token_peers_find (&limiter->peers, from);
+  if (jd_token_exchange_accept (&known->exchange, peer, grant, limiter->now_us))
+    jd_rate_share_credit (&known->share, grant->amount_microtokens,
+                          grant->echoed_asked_at_us +
+                              limiter->settings.transfer_lifetime_us);
+}
+
+/* Answers an ask, also when there is nothing to give: the asker then turns to others at
+ * once. */
+static void
+answer_ask (jd_rate_limiter_t *limiter, const char *from, const jd_token_ask_t *ask)
+{
+  jd_organisation_limit_t *known =
+      g_hash_table_lookup (limiter->by_name, ask->organisation);
+  if (!known || ask->amount_microtokens <= 0)
+    return;
+  jd_token_grant_t grant = {
+    .nonce = ask->nonce,
+    .amount_microtokens =
+        jd_organisation_limit_grant (known, limiter->now_us, ask->amount_microtokens),
+    .echoed_asked_at_us = ask->asked_at_us,
+  };
+  g_strlcpy (grant.organisation, known->name, sizeof (grant.organisation));
+  limiter->actions.send_grant (limiter->actions.context, from, &grant);
+}
+
+/* Decides waiting requests in turns of the organisations. */
+static void
+serve_waiting (jd_rate_limiter_t *limiter)
+{
+  uint32_t count = limiter->organisations->len;
+  bool decided = true;
+  while (decided)
+    {
+      decided = false;
+      for (uint32_t turn = 0; turn < count * DECISIONS_PER_TURN; turn++)
+        {
+          uint32_t index = (limiter->first_turn + turn / DECISIONS_PER_TURN) % count;
+          jd_waiting_request_t request;
+          jd_admission_t result;
+          if (!jd_organisation_limit_serve (organisation_at (limiter, index),
+                                            limiter->now_us, &request, &result))
+            continue;
+          decided = true;
+          limiter->actions.decided (limiter->actions.context, request.request_id,
+                                    result == JD_ADMISSION_ADMITTED, limiter->now_us);
+        }
+    }
+  limiter->first_turn = count ? (limiter->first_turn + 1) % count : 0;
+}
+
+/* Acts on messages and on time. The reading must be taken after the last message was
+ * handed over. Grants are credited first, then local requests are served, then peers
+ * get what is left, then tokens are asked for. */
+void
+jd_rate_limiter_tick (jd_rate_limiter_t *limiter, int64_t now_us)
+{
+  enter (limiter, now_us);
+  jd_token_inbox_t *inbox = &limiter->inbox;
+  for (uint32_t i = 0; i < inbox->grants->len; i++)
+    {
+      const jd_inbox_grant_t *item = &g_array_index (inbox->grants, jd_inbox_grant_t, i);
+      take_grant (limiter, item->from, &item->grant);
+    }
+  serve_waiting (limiter);
+  for (uint32_t i = 0; i < inbox->asks->len; i++)
+    {
+      const jd_inbox_ask_t *item = &g_array_index (inbox->asks, jd_inbox_ask_t, i);
+      answer_ask (limiter, item->from, &item->ask);
+    }
+  jd_token_inbox_reset (inbox);
+  for (uint32_t i = 0; i < limiter->organisations->len; i++)
+    {
+      jd_organisation_limit_t *organisation = organisation_at (limiter, i);
+      if (organisation->queue.count > 0)
+        ask_peers (limiter, organisation);
+    }
+}
+
+/* Returns when the next tick is due, by the latest reading; INT64_MAX when only a call
+ * changes anything. */
+int64_t
+jd_rate_limiter_next_wakeup_us (const jd_rate_limiter_t *limiter)
+{
+  if (jd_token_inbox_count (&limiter->inbox) > 0)
+    return limiter->now_us;
+  int64_t next_us = INT64_MAX;
+  for (uint32_t i = 0; i < limiter->organisations->len; i++)
+    next_us = MIN (next_us, jd_organisation_limit_next_wakeup_us (
+                                organisation_at (limiter, i), limiter->now_us));
+  return next_us;
+}
+
+/* Returns the time from which this process may announce that it gave up its shares: a
+ * successor starts at once then, so no granted token may still be in flight. INT64_MIN
+ * when none is. Shares must have been set to 0 before. */
+int64_t
+jd_rate_limiter_release_at_us (const jd_rate_limiter_t *limiter)
+{
+  int64_t last_us = INT64_MIN;
+  for (uint32_t i = 0; i < limiter->organisations->len; i++)
+    {
+      const jd_token_parcels_t *sent = &organisation_at (limiter, i)->share.sent;
+      if (sent->count > 0)
+        last_us = MAX (last_us, sent->items[sent->count - 1].expires_at_us);
+    }
+  return last_us;
+}
+
+/* Returns the number of organisations. */
+uint32_t
+jd_rate_limiter_organisation_count (const jd_rate_limiter_t *limiter)
+{
+  return limiter->organisations->len;
+}
+
+/* Fills in the status of the organisation at an index. Returns false past the last. */
+bool
+jd_rate_limiter_status (jd_rate_limiter_t *limiter, int64_t now_us, uint32_t index,
+                        jd_rate_status_t *status)
+{
+  now_us = enter (limiter, now_us);
+  if (index >= limiter->organisations->len)
+    return false;
+  jd_organisation_limit_t *organisation = organisation_at (limiter, index);
+  jd_rate_share_advance (&organisation->share, now_us);
+  jd_organisation_limit_status (organisation, now_us, status);
+  return true;
+}
--- /dev/null
+++ b/src/limits/rate_limiter.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/rng.h"
+#include "limits/organisation_limit.h"
+#include "limits/token_defs.h"
+#include "limits/token_peer.h"
+
+/* Enforces the rate and burst of all organisations in one entry process, together with
+ * its peers (docs/design.md, 4.3). No I/O and no clock: all calls come from one thread.
+ *
+ * Times are readings of one monotonic clock. An admission counts at the reading that was
+ * passed with the call that made it. Messages are only put aside by the on_token calls;
+ * the next tick acts on them. Its reading must be taken after the last message was
+ * handed over, because a reading from before a pause would let expired tokens in. */
+typedef struct jd_rate_limiter jd_rate_limiter_t;
+
+/* Callbacks; none may call back into the limiter. */
+typedef struct jd_rate_actions
+{
+  void (*send_ask) (void *context, const char *peer, const jd_token_ask_t *ask);
+  void (*send_grant) (void *context, const char *peer, const jd_token_grant_t *grant);
+  /* The end of a wait. An admission counts at decided_at_us. */
+  void (*decided) (void *context, uint64_t request_id, bool admitted,
+                   int64_t decided_at_us);
+  void *context;
+} jd_rate_actions_t;
+
+typedef struct jd_organisation_rate
+{
+  const char *name;
+  jd_share_rate_t share; /* Of one share; see jd_share_rate_of. */
+} jd_organisation_rate_t;
+
+jd_rate_limiter_t *jd_rate_limiter_new (const jd_rate_settings_t *settings,
+                                        const jd_rate_actions_t *actions, jd_rng_t rng);
+void jd_rate_limiter_free (jd_rate_limiter_t *limiter);
+
+void jd_rate_limiter_set_organisations (jd_rate_limiter_t *limiter, int64_t now_us,
+                                        const jd_organisation_rate_t *rates,
+                                        uint32_t count);
+void jd_rate_limiter_set_peers (jd_rate_limiter_t *limiter, int64_t now_us,
+                                const jd_token_peer_t *peers, uint32_t count);
+void jd_rate_limiter_set_shares (jd_rate_limiter_t *limiter, int64_t now_us,
+                                 uint32_t owned_shares, int64_t valid_until_us);
+
+jd_admission_t jd_rate_limiter_request (jd_rate_limiter_t *limiter, int64_t now_us,
+                                        uint64_t request_id, const char *organisation,
+                                        int64_t deadline_us);
+bool jd_rate_limiter_cancel (jd_rate_limiter_t *limiter, uint64_t request_id,
+                             const char *organisation);
+
+void jd_rate_limiter_on_token_ask (jd_rate_limiter_t *limiter, const char *from,
+                                   const jd_token_ask_t *ask);
+void jd_rate_limiter_on_token_grant (jd_rate_limiter_t *limiter, const char *from,
+                                     const jd_token_grant_t *grant);
+void jd_rate_limiter_tick (jd_rate_limiter_t *limiter, int64_t now_us);
+int64_t jd_rate_limiter_next_wakeup_us (const jd_rate_limiter_t *limiter);
+
+int64_t jd_rate_limiter_release_at_us (const jd_rate_limiter_t *limiter);
+uint32_t jd_rate_limiter_organisation_count (const jd_rate_limiter_t *limiter);
+bool jd_rate_limiter_status (jd_rate_limiter_t *limiter, int64_t now_us, uint32_t index,
+                             jd_rate_status_t *status);
