feat(peer_link): connect processes over ZeroMQ

Cause: entries and brokers need sockets that say truly whether a message was handed over, and that drop silent connections. Ruled out: zmq_poll over all sockets, which costs a pass over every peer in each turn and cannot be shared with curl's sockets; the sockets' descriptors are watched with epoll, and a socket is read again after each send because its descriptor only shows commands that no call has handled. Conclusion: a send on a connection that is still being made is refused, so callers repeat their hello. jd_event_poll is shared with target_client.

--- a/src/transport/peer_link.h
+++ b/src/transport/peer_link.h
@@ -3,8 +3,18 @@
 #include <glib.h>
 #include <stdint.h>
 
+#include "transport/event_poll.h"
 #include "transport/wire.h"
 
+#define JD_PEER_LINK_ERROR (jd_peer_link_error_quark ())
+GQuark jd_peer_link_error_quark (void);
+
+typedef enum jd_peer_link_error
+{
+  JD_PEER_LINK_ERROR_BIND,
+  JD_PEER_LINK_ERROR_RESOURCES,
+} jd_peer_link_error_t;
+
 /* The ZeroMQ sockets of one process: one bound ROUTER and one DEALER per peer address.
  * Used from one thread only; jd_peer_link_wake may be called from any. */
 typedef struct jd_peer_link jd_peer_link_t;
@@ -46,5 +56,7 @@
 int jd_peer_link_poll (jd_peer_link_t *link, int timeout_ms);
 /* Makes a poll in another thread return early. */
 void jd_peer_link_wake (jd_peer_link_t *link);
+/* Other descriptors watched here are served by jd_peer_link_poll on the same thread. */
+jd_event_poll_t *jd_peer_link_event_poll (jd_peer_link_t *link);
 /* Number of messages dropped because they could not be decoded. */
 uint64_t jd_peer_link_dropped (const jd_peer_link_t *link);
--- /dev/null
+++ b/test/support/relay.c
@@ -0,0 +1,129 @@
+#include "support/relay.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdatomic.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "support/free_port.h"
+
+#define MAX_PAIRS 64
+
+struct jd_relay
+{
+  uint16_t port;
+  uint16_t target_port;
+  int listener;
+  int ends[MAX_PAIRS][2]; /* Accepted and connected side; -1 when closed. */
+  int pair_count;
+  _Atomic int silent_count; /* The first pairs are silent. */
+  _Atomic int stopped;
+  GThread *thread;
+};
+
+/* Accepts one connection and connects its other side. */
+static void
+accept_pair (jd_relay_t *relay)
+{
+  int accepted = accept (relay->listener, NULL, NULL);
+  int connected = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (relay->target_port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  if (relay->pair_count == MAX_PAIRS ||
+      connect (connected, (struct sockaddr *)&address, sizeof (address)) != 0)
+    {
+      close (accepted);
+      close (connected);
+      return;
+    }
+  relay->ends[relay->pair_count][0] = accepted;
+  relay->ends[relay->pair_count++][1] = connected;
+}
+
+/* Moves bytes of one side to the other; closes both at the end. */
+static void
+forward (int ends[2], int side)
+{
+  char buffer[65536];
+  ssize_t length = recv (ends[side], buffer, sizeof (buffer), 0);
+  if (length > 0 && send (ends[!side], buffer, (size_t)length, MSG_NOSIGNAL) == length)
+    return;
+  close (ends[0]);
+  close (ends[1]);
+  ends[0] = ends[1] = -1;
+}
+
+/* Forwards until stopped. */
+static void *
+run (void *context)
+{
+  jd_relay_t *relay = context;
+  while (!relay->stopped)
+    {
+      struct pollfd fds[1 + 2 * MAX_PAIRS] = { { relay->listener, POLLIN, 0 } };
+      int first = MAX (relay->silent_count, 0);
+      int count = relay->pair_count;
+      for (int i = first; i < count; i++)
+        {
+          fds[1 + 2 * i] = (struct pollfd){ relay->ends[i][0], POLLIN, 0 };
+          fds[2 + 2 * i] = (struct pollfd){ relay->ends[i][1], POLLIN, 0 };
+        }
+      for (int i = 0; i < first; i++)
+        fds[1 + 2 * i].fd = fds[2 + 2 * i].fd = -1;
+      poll (fds, 1 + 2 * (nfds_t)count, 5);
+      for (int i = first; i < count; i++)
+        for (int side = 0; side < 2; side++)
+          if (fds[1 + 2 * i + side].revents && relay->ends[i][side] >= 0)
+            forward (relay->ends[i], side);
+      if (fds[0].revents)
+        accept_pair (relay);
+      if (relay->silent_count < 0)
+        relay->silent_count = relay->pair_count;
+    }
+  return NULL;
+}
+
+/* Starts a relay thread. */
+jd_relay_t *
+jd_relay_new (uint16_t target_port)
+{
+  jd_relay_t *relay = g_new0 (jd_relay_t, 1);
+  relay->target_port = target_port;
+  relay->listener = jd_test_listen (&relay->port);
+  relay->thread = g_thread_new ("relay", run, relay);
+  return relay;
+}
+
+/* Stops the thread and closes all connections. */
+void
+jd_relay_free (jd_relay_t *relay)
+{
+  relay->stopped = 1;
+  g_thread_join (relay->thread);
+  for (int i = 0; i < relay->pair_count; i++)
+    for (int side = 0; side < 2; side++)
+      if (relay->ends[i][side] >= 0)
+        close (relay->ends[i][side]);
+  close (relay->listener);
+  g_free (relay);
+}
+
+/* Returns the port to connect to. */
+uint16_t
+jd_relay_port (const jd_relay_t *relay)
+{
+  return relay->port;
+}
+
+/* Silences what is connected now; returns when this holds. */
+void
+jd_relay_silence (jd_relay_t *relay)
+{
+  relay->silent_count = -1;
+  while (relay->silent_count < 0)
+    g_usleep (1000);
+}
--- /dev/null
+++ b/test/support/relay.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <stdint.h>
+
+/* Forwards TCP connections from its own loopback port to another one. */
+typedef struct jd_relay jd_relay_t;
+
+jd_relay_t *jd_relay_new (uint16_t target_port);
+void jd_relay_free (jd_relay_t *relay);
+uint16_t jd_relay_port (const jd_relay_t *relay);
+/* Makes all present connections silent for good: they stay open, and nothing passes in
+ * either direction. Later connections work. */
+void jd_relay_silence (jd_relay_t *relay);
