feat(stand_ins): add the target stand-in

One process serves many targets.

Cause: routing, limits and recovery need targets whose right answer and executed edits a test can compute. Ruled out: ulfius for the server: a thread per connection for about 1,000 connections in one process; libmicrohttpd below it suspends waiting requests instead.

--- /dev/null
+++ b/test/stand_ins/execution_log.c
@@ -0,0 +1,119 @@
+#include "stand_ins/execution_log.h"
+
+#include <glib.h>
+
+typedef struct log_entry
+{
+  char *body;
+  uint64_t revision;
+} log_entry_t;
+
+struct jd_execution_log
+{
+  GMutex lock; /* Guards the tables. */
+  GHashTable *entries;
+  GHashTable *requests; /* Request id -> executions. */
+  GHashTable *bodies;   /* Edit body -> executions; finds repeats under new ids. */
+};
+
+/* Frees one entry. */
+static void
+entry_free (gpointer data)
+{
+  log_entry_t *entry = data;
+  g_free (entry->body);
+  g_free (entry);
+}
+
+/* Creates an empty log. */
+jd_execution_log_t *
+jd_execution_log_new (void)
+{
+  jd_execution_log_t *log = g_new0 (jd_execution_log_t, 1);
+  g_mutex_init (&log->lock);
+  log->entries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
+  log->requests = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  log->bodies = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  return log;
+}
+
+/* Frees a log. */
+void
+jd_execution_log_free (jd_execution_log_t *log)
+{
+  if (!log)
+    return;
+  g_hash_table_destroy (log->entries);
+  g_hash_table_destroy (log->requests);
+  g_hash_table_destroy (log->bodies);
+  g_mutex_clear (&log->lock);
+  g_free (log);
+}
+
+/* Adds one to the count of a key. */
+static void
+count_up (GHashTable *table, const char *key)
+{
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (table, key));
+  g_hash_table_replace (table, g_strdup (key), GUINT_TO_POINTER (count + 1));
+}
+
+/* Stores the body and counts the execution. */
+uint64_t
+jd_execution_log_edit (jd_execution_log_t *log, const char *entry, const char *request_id,
+                       const char *body)
+{
+  g_mutex_lock (&log->lock);
+  count_up (log->requests, request_id);
+  count_up (log->bodies, body);
+  log_entry_t *stored = g_hash_table_lookup (log->entries, entry);
+  if (!stored)
+    {
+      stored = g_new0 (log_entry_t, 1);
+      g_hash_table_insert (log->entries, g_strdup (entry), stored);
+    }
+  g_free (stored->body);
+  stored->body = g_strdup (body);
+  uint64_t revision = ++stored->revision;
+  g_mutex_unlock (&log->lock);
+  return revision;
+}
+
+/* Returns the stored content, or a generated one for entries that nobody edited. */
+char *
+jd_execution_log_fetch (jd_execution_log_t *log, const char *entry, uint64_t *revision)
+{
+  g_mutex_lock (&log->lock);
+  const log_entry_t *stored = g_hash_table_lookup (log->entries, entry);
+  *revision = stored ? stored->revision : 0;
+  char *body =
+      stored ? g_strdup (stored->body) : g_strdup_printf ("{\"text\":\"%s\"}", entry);
+  g_mutex_unlock (&log->lock);
+  return body;
+}
+
+/* Renders one table of counts. */
+static json_t *
+counts_to_json (GHashTable *table)
+{
+  json_t *object = json_object ();
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&iter, table);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    json_object_set_new (object, key, json_integer (GPOINTER_TO_UINT (value)));
+  return object;
+}
+
+/* Renders the counts of all executions. */
+json_t *
+jd_execution_log_to_json (jd_execution_log_t *log)
+{
+  g_mutex_lock (&log->lock);
+  json_t *object = json_object ();
+  json_object_set_new (object, "requests", counts_to_json (log->requests));
+  json_object_set_new (object, "bodies", counts_to_json (log->bodies));
+  g_mutex_unlock (&log->lock);
+  return object;
+}
--- /dev/null
+++ b/test/unit/test_target_stand_in.c
@@ -0,0 +1,226 @@
+#include "stand_ins/target_server.h"
+
+#include <string.h>
+
+#include "stand_ins/target_documents.h"
+#include "support/http_call.h"
+#include "support/test_main.h"
+
+/* A target that serves in this process. */
+typedef struct fixture
+{
+  jd_timer_queue_t *timers;
+  jd_execution_log_t *executions;
+  jd_target_t *target;
+  char *url;
+} fixture_t;
+
+/* Starts a target on a free port. */
+static fixture_t
+fixture_start (const char *faults)
+{
+  fixture_t fixture = { .timers = jd_timer_queue_new (),
+                        .executions = jd_execution_log_new () };
+  jd_target_options_t options = { .id = "t0",
+                                  .ip = "127.0.0.1",
+                                  .conditions = jd_target_conditions_default (),
+                                  .timers = fixture.timers,
+                                  .executions = fixture.executions };
+  json_t *object = json_loads (faults, 0, NULL);
+  CU_ASSERT_TRUE (jd_target_conditions_apply (&options.conditions, object, NULL));
+  json_decref (object);
+  fixture.target = jd_target_new (&options, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fixture.target);
+  fixture.url = g_strdup_printf ("http://127.0.0.1:%u", jd_target_port (fixture.target));
+  return fixture;
+}
+
+/* Stops the target. */
+static void
+fixture_stop (fixture_t *fixture)
+{
+  jd_target_stop (fixture->target);
+  jd_timer_queue_free (fixture->timers);
+  jd_target_free (fixture->target);
+  jd_execution_log_free (fixture->executions);
+  g_free (fixture->url);
+}
+
+/* Makes a call and returns its status. */
+static long
+call_status (const fixture_t *fixture, const char *path, const char *header,
+             const char *body)
+{
+  char *url = g_strconcat (fixture->url, path, NULL);
+  jd_http_reply_t reply = jd_http_call (NULL, url, header, body, 3000);
+  long status = reply.status;
+  jd_http_reply_clear (&reply);
+  g_free (url);
+  return status;
+}
+
+/* Returns one of the target's counts. */
+static json_int_t
+count_of (const fixture_t *fixture, const char *name)
+{
+  jd_http_reply_t reply = jd_http_get ("%s/executions", fixture->url);
+  json_int_t count =
+      json_integer_value (json_object_get (json_object_get (reply.json, "counts"), name));
+  jd_http_reply_clear (&reply);
+  return count;
+}
+
+/* One call in a thread of its own. */
+typedef struct parallel_call
+{
+  const fixture_t *fixture;
+  const char *path;
+  const char *header;
+  const char *body;
+  long status;
+  GThread *thread;
+} parallel_call_t;
+
+/* Thread function. */
+static gpointer
+run_call (gpointer data)
+{
+  parallel_call_t *call = data;
+  call->status = call_status (call->fixture, call->path, call->header, call->body);
+  return NULL;
+}
+
+/* Makes all calls at the same time; returns how many had the given status. */
+static int
+run_parallel (parallel_call_t *calls, int count, long status)
+{
+  int matching = 0;
+  for (int i = 0; i < count; i++)
+    calls[i].thread = g_thread_new ("call", run_call, &calls[i]);
+  for (int i = 0; i < count; i++)
+    {
+      g_thread_join (calls[i].thread);
+      matching += calls[i].status == status;
+    }
+  return matching;
+}
+
+/* Guards against a stand-in whose answers a test cannot compute. */
+static void
+search_gives_the_computed_answer (void)
+{
+  fixture_t fixture = fixture_start ("{\"snapshots\":[4,3]}");
+  jd_http_reply_t reply =
+      jd_http_get ("%s/search?shard=s1&snapshot=3&q=a%%20b&limit=5", fixture.url);
+  jd_document_hit_t hits[5];
+  CU_ASSERT_EQUAL (jd_documents_search ("s1", 3, "a b", 5, hits), 5);
+  json_t *array = json_object_get (reply.json, "hits");
+  CU_ASSERT_EQUAL_FATAL (json_array_size (array), 5);
+  for (size_t i = 0; i < 5; i++)
+    {
+      const json_t *hit = json_array_get (array, i);
+      CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (hit, "id")),
+                              hits[i].id);
+      CU_ASSERT_EQUAL (json_real_value (json_object_get (hit, "score")), hits[i].score);
+    }
+  CU_ASSERT_PTR_NOT_NULL (strstr (reply.headers, "X-Snapshot: 3"));
+  jd_http_reply_clear (&reply);
+  CU_ASSERT_EQUAL (call_status (&fixture, "/search?shard=s1&snapshot=9&q=a", NULL, NULL),
+                   409);
+  fixture_stop (&fixture);
+}
+
+/* Guards against slots or a queue that let more work through than they should: 2 slots
+ * and 1 waiting place take 3 of 8 simultaneous requests. */
+static void
+excess_load_is_shed (void)
+{
+  fixture_t fixture = fixture_start (
+      "{\"slots\":2,\"queue\":1,\"latency_median_us\":400000,\"latency_sigma\":0}");
+  parallel_call_t calls[8];
+  for (int i = 0; i < 8; i++)
+    calls[i] = (parallel_call_t){ .fixture = &fixture, .path = "/search?shard=s&q=a" };
+  CU_ASSERT_EQUAL (run_parallel (calls, 8, 503), 5);
+  CU_ASSERT_EQUAL (count_of (&fixture, "shed"), 5);
+  CU_ASSERT_EQUAL (count_of (&fixture, "peak_running"), 2);
+  fixture_stop (&fixture);
+}
+
+/* Guards against a cold start that bears any load. */
+static void
+cold_start_fails_under_load (void)
+{
+  fixture_t fixture = fixture_start (
+      "{\"cold_requests\":2,\"cold_fail_ms\":200,\"latency_median_us\":50000}");
+  parallel_call_t calls[2];
+  for (int i = 0; i < 2; i++)
+    calls[i] = (parallel_call_t){ .fixture = &fixture, .path = "/search?shard=s&q=a" };
+  CU_ASSERT_EQUAL (run_parallel (calls, 2, 500), 2);
+  CU_ASSERT_EQUAL (count_of (&fixture, "overloads"), 1);
+  CU_ASSERT_EQUAL (call_status (&fixture, "/health", NULL, NULL), 500);
+  g_usleep (250000);
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_EQUAL (call_status (&fixture, "/search?shard=s&q=a", NULL, NULL), 200);
+  CU_ASSERT_EQUAL (run_parallel (calls, 2, 200), 2);
+  fixture_stop (&fixture);
+}
+
+/* Guards against executed work that a deadline or a cancellation should have stopped,
+ * and against executions that are not counted. */
+static void
+edits_run_once_or_not_at_all (void)
+{
+  fixture_t fixture = fixture_start ("{\"latency_median_us\":300000,\"slots\":4}");
+  CU_ASSERT_EQUAL (call_status (&fixture, "/entries/e", "X-Request-Id: r1", "\"one\""),
+                   200);
+  CU_ASSERT_EQUAL (call_status (&fixture, "/entries/e", "X-Deadline-Ms: 20", "\"two\""),
+                   504);
+  parallel_call_t edit = { .fixture = &fixture,
+                           .path = "/entries/e",
+                           .header = "X-Request-Id: r3",
+                           .body = "\"three\"" };
+  edit.thread = g_thread_new ("call", run_call, &edit);
+  g_usleep (100000);
+  CU_ASSERT_EQUAL (call_status (&fixture, "/cancel/r3", NULL, ""), 200);
+  g_thread_join (edit.thread);
+  CU_ASSERT_EQUAL (edit.status, 499);
+  jd_http_reply_t reply = jd_http_get ("%s/executions", fixture.url);
+  json_t *requests = json_object_get (reply.json, "requests");
+  CU_ASSERT_EQUAL (json_object_size (requests), 1);
+  CU_ASSERT_EQUAL (json_integer_value (json_object_get (requests, "r1")), 1);
+  jd_http_reply_clear (&reply);
+  fixture_stop (&fixture);
+}
+
+/* Guards against a fault switch without effect. */
+static void
+faults_take_effect (void)
+{
+  fixture_t fixture = fixture_start ("{}");
+  const char *search = "/search?shard=s&q=a";
+  CU_ASSERT_EQUAL (call_status (&fixture, "/faults", NULL, "{\"shed\":true}"), 200);
+  CU_ASSERT_EQUAL (call_status (&fixture, search, NULL, NULL), 503);
+  CU_ASSERT_EQUAL (call_status (&fixture, "/faults", NULL, "{\"shed\":1}"), 400);
+  call_status (&fixture, "/faults", NULL, "{\"shed\":false,\"close_after_read\":true}");
+  CU_ASSERT_EQUAL (call_status (&fixture, search, NULL, NULL), 0);
+  call_status (&fixture, "/faults", NULL,
+               "{\"close_after_read\":false,\"crossed_reply\":true,\"freeze_ms\":200}");
+  jd_http_reply_t reply = jd_http_get ("%s%s", fixture.url, search);
+  CU_ASSERT (reply.seconds >= 0.15);
+  CU_ASSERT_PTR_NOT_NULL (strstr (reply.headers, "X-Request-Id: crossed"));
+  jd_http_reply_clear (&reply);
+  fixture_stop (&fixture);
+}
+
+int
+main (void)
+{
+  const jd_test_case_t cases[] = {
+    { "search gives the computed answer", search_gives_the_computed_answer },
+    { "excess load is shed", excess_load_is_shed },
+    { "cold start fails under load", cold_start_fails_under_load },
+    { "edits run once or not at all", edits_run_once_or_not_at_all },
+    { "faults take effect", faults_take_effect },
+  };
+  return JD_TEST_RUN ("target_stand_in", cases);
+}
