feat(node): add the common part of entry and broker

Cause: both daemons need records, lease and messages of one seat in one event loop. Ruled out: one copy in each daemon. Conclusion: a node owns link, platform feed, lease and ownership and passes the rest on.

--- /dev/null
+++ b/src/daemons/node.c
@@ -0,0 +1,391 @@
+#include "daemons/node.h"
+
+#include <string.h>
+
+#include "base/log_event.h"
+#include "daemons/platform_feed.h"
+
+/* Most cells of one role in one zone that a node looks at. */
+#define MAX_CELLS 256
+
+struct jd_node
+{
+  jd_node_options_t options;
+  jd_philox_t random;
+  uint64_t incarnation;
+  jd_peer_link_t *link;
+  jd_platform_feed_t *feed; /* NULL without a platform. */
+  jd_fleet_record_t *fleet; /* NULL until one is in force. */
+  jd_lease_t *lease;        /* NULL until the own seat is listed. */
+  jd_ownership_t *ownership;
+  gboolean lease_was_held;
+  _Atomic int64_t confirmed_us; /* -1: never. */
+};
+
+/* Returns the time of the node's clock. */
+int64_t
+jd_node_now_us (const jd_node_t *node)
+{
+  return jd_clock_now_us (&node->options.clock);
+}
+
+/* Returns the link to the other processes. */
+jd_peer_link_t *
+jd_node_link (jd_node_t *node)
+{
+  return node->link;
+}
+
+/* Returns the number that tells this run of the seat from others. */
+uint64_t
+jd_node_incarnation (const jd_node_t *node)
+{
+  return node->incarnation;
+}
+
+/* Returns random numbers seeded by the operating system. */
+jd_rng_t
+jd_node_rng (jd_node_t *node)
+{
+  return jd_philox_rng (&node->random);
+}
+
+/* Returns the fleet in force, or NULL. */
+const jd_fleet_record_t *
+jd_node_fleet (const jd_node_t *node)
+{
+  return node->fleet;
+}
+
+/* Returns whether the published fleet has the own seat in its cell. */
+gboolean
+jd_node_is_listed (const jd_node_t *node)
+{
+  return node->lease != NULL;
+}
+
+/* Returns the address of a seat, or NULL. */
+static const char *
+address_of (const jd_node_t *node, const char *seat)
+{
+  const jd_cell_record_t *cell
+      = node->fleet ? jd_fleet_record_cell_of_seat (node->fleet, seat) : NULL;
+  for (uint32_t i = 0; cell && i < cell->seat_count; i++)
+    {
+      if (strcmp (cell->seats[i].name, seat) == 0)
+        return cell->seats[i].address;
+    }
+  return NULL;
+}
+
+/* Sends to a seat of the fleet. */
+gboolean
+jd_node_send (jd_node_t *node, const char *seat, const jd_message_t *message)
+{
+  const char *address = address_of (node, seat);
+  return address && jd_peer_link_send (node->link, address, message);
+}
+
+/* Send callback of the lease. */
+static void
+send_heartbeat (void *context, const char *to_seat, const jd_heartbeat_t *heartbeat)
+{
+  jd_message_t message = { .type = JD_MESSAGE_HEARTBEAT, .heartbeat = *heartbeat };
+  jd_node_send (context, to_seat, &message);
+}
+
+/* Creates the lease of the own seat. */
+static void
+start_lease (jd_node_t *node, const char *const *seats, uint32_t count, const char *cell)
+{
+  jd_lease_options_t options = {
+    .seat = node->options.seat,
+    .incarnation = node->incarnation,
+    .seats = seats,
+    .seat_count = count,
+    .settings = jd_lease_settings_default (),
+    .send = send_heartbeat,
+    .context = node,
+  };
+  node->lease = jd_lease_new (&options, jd_node_now_us (node));
+  node->ownership = jd_ownership_new (node->lease, cell);
+}
+
+/* Tells the ownership which cells share the resources of the zone. */
+static void
+apply_cells (jd_node_t *node)
+{
+  const char *names[MAX_CELLS];
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < node->fleet->cell_count && count < MAX_CELLS; i++)
+    {
+      const jd_cell_record_t *cell = &node->fleet->cells[i];
+      if (cell->role == node->options.role && strcmp (cell->zone, node->options.zone) == 0)
+        names[count++] = cell->name;
+    }
+  jd_ownership_set_cells (node->ownership, names, count, jd_node_now_us (node));
+}
+
+/* Returns the cell of the own seat when the fleet agrees with the settings. */
+static const jd_cell_record_t *
+own_cell (const jd_node_t *node)
+{
+  const jd_cell_record_t *cell
+      = jd_fleet_record_cell_of_seat (node->fleet, node->options.seat);
+  if (cell && cell->role == node->options.role
+      && strcmp (cell->zone, node->options.zone) == 0)
+    return cell;
+  jd_log_event (G_LOG_LEVEL_WARNING, "seat_not_listed", "fleet_version=%" G_GUINT64_FORMAT,
+                (guint64)node->fleet->head.record_version);
+  return NULL;
+}
+
+/* Brings the lease in line with a new fleet record. */
+static void
+apply_fleet (jd_node_t *node)
+{
+  jd_fleet_record_t *fleet = jd_config_store_fleet (node->options.store);
+  if (!fleet)
+    return;
+  if (node->fleet)
+    jd_fleet_record_unref (node->fleet);
+  node->fleet = fleet;
+  const jd_cell_record_t *cell = own_cell (node);
+  if (!cell)
+    return;
+  const char *seats[JD_CELL_MAX_SEATS];
+  for (uint32_t i = 0; i < cell->seat_count; i++)
+    seats[i] = cell->seats[i].name;
+  if (!node->lease)
+    start_lease (node, seats, cell->seat_count, cell->name);
+  else
+    jd_lease_set_seats (node->lease, seats, cell->seat_count, jd_node_now_us (node));
+  apply_cells (node);
+}
+
+/* Offers a record to the store, logs the outcome, and tells the daemon about a new
+ * version. */
+static void
+offer_record (jd_node_t *node, const char *source, const char *name, const char *text,
+              size_t length)
+{
+  GError *error = NULL;
+  jd_adoption_t adoption
+      = jd_config_store_offer (node->options.store, name, text, length, &error);
+  if (adoption == JD_ADOPTION_ADOPTED)
+    {
+      jd_log_event (G_LOG_LEVEL_INFO, "record_adopted",
+                    "record=%s version=%" G_GUINT64_FORMAT " source=%s", name,
+                    (guint64)jd_config_store_version (node->options.store, name), source);
+      if (strcmp (name, "fleet") == 0)
+        apply_fleet (node);
+      node->options.callbacks.on_record (node->options.callbacks.context, name);
+    }
+  else if (adoption == JD_ADOPTION_INVALID || adoption == JD_ADOPTION_CONFLICT)
+    {
+      char *reason = jd_log_quote (error ? error->message : "same version, other content");
+      jd_log_event (G_LOG_LEVEL_CRITICAL, "record_refused", "record=%s source=%s reason=%s",
+                    name, source, reason);
+      g_free (reason);
+    }
+  g_clear_error (&error);
+}
+
+/* Record callback of the platform feed. */
+static void
+on_platform_record (void *context, const char *name, const char *text, size_t length)
+{
+  offer_record (context, "platform", name, text, length);
+}
+
+/* Confirmation callback of the platform feed. */
+static void
+on_platform_confirmed (void *context, int64_t sent_us)
+{
+  jd_node_t *node = context;
+  node->confirmed_us = sent_us;
+}
+
+/* Host list callback of the platform feed. */
+static void
+on_platform_hosts (void *context, const char *text, size_t length)
+{
+}
+
+/* Wake callback of the platform feed. */
+static void
+wake_from_feed (void *context)
+{
+  jd_node_wake (context);
+}
+
+/* Answers a heartbeat over the connection on which it came. */
+static void
+answer_heartbeat (jd_node_t *node, const jd_peer_origin_t *origin,
+                  const jd_heartbeat_t *heartbeat)
+{
+  jd_message_t reply = { .type = JD_MESSAGE_HEARTBEAT_ACK };
+  if (node->lease
+      && jd_lease_on_heartbeat (node->lease, heartbeat, jd_node_now_us (node),
+                                &reply.heartbeat_ack))
+    jd_peer_link_reply (node->link, origin, &reply);
+}
+
+/* Serves membership and passes other messages on. */
+static void
+on_message (void *context, const jd_peer_origin_t *origin, jd_message_t *message)
+{
+  jd_node_t *node = context;
+  switch (message->type)
+    {
+    case JD_MESSAGE_HEARTBEAT:
+      answer_heartbeat (node, origin, &message->heartbeat);
+      break;
+    case JD_MESSAGE_HEARTBEAT_ACK:
+      if (node->lease)
+        jd_lease_on_ack (node->lease, &message->heartbeat_ack, jd_node_now_us (node));
+      break;
+    default:
+      node->options.callbacks.on_message (node->options.callbacks.context, origin, message);
+      break;
+    }
+}
+
+/* Connects to the platform. */
+static void
+start_feed (jd_node_t *node)
+{
+  jd_platform_feed_options_t options = {
+    .url = node->options.platform_url,
+    .clock = node->options.clock,
+    .counters = node->options.counters,
+    .wake = wake_from_feed,
+    .on_record = on_platform_record,
+    .on_confirmed = on_platform_confirmed,
+    .on_hosts = on_platform_hosts,
+    .context = node,
+  };
+  node->feed = jd_platform_feed_new (&options);
+}
+
+/* Binds the own address and starts to read the platform. */
+jd_node_t *
+jd_node_new (const jd_node_options_t *options, GError **error)
+{
+  jd_node_t *node = g_new0 (jd_node_t, 1);
+  node->options = *options;
+  node->random.seed = jd_entropy ();
+  /* Wall-clock microseconds, so that later runs have higher numbers. The last bits are
+   * random: two processes of one seat that start together still differ. */
+  node->incarnation = ((uint64_t)jd_wall_time_us () << 8) | (jd_entropy () & 0xff);
+  node->confirmed_us = -1;
+  jd_peer_link_options_t link = {
+    .seat = options->seat,
+    .bind_address = options->peer_address,
+    .on_message = on_message,
+    .context = node,
+  };
+  node->link = jd_peer_link_new (&link, error);
+  if (!node->link)
+    {
+      g_free (node);
+      return NULL;
+    }
+  if (options->platform_url)
+    start_feed (node);
+  return node;
+}
+
+/* Stops the platform client and closes all connections. */
+void
+jd_node_free (jd_node_t *node)
+{
+  if (!node)
+    return;
+  jd_platform_feed_free (node->feed);
+  jd_ownership_free (node->ownership);
+  jd_lease_free (node->lease);
+  if (node->fleet)
+    jd_fleet_record_unref (node->fleet);
+  jd_peer_link_free (node->link);
+  g_free (node);
+}
+
+/* Logs when the lease is won or lost. */
+static void
+log_lease (jd_node_t *node, int64_t now_us)
+{
+  gboolean held = jd_lease_is_held (node->lease, now_us);
+  if (held == node->lease_was_held)
+    return;
+  node->lease_was_held = held;
+  jd_log_event (held ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_WARNING,
+                held ? "lease_won" : "lease_lost", "incarnation=%" G_GUINT64_FORMAT,
+                (guint64)node->incarnation);
+}
+
+/* Returns the time that a poll may take before the lease needs a tick. */
+static int
+limit_timeout_ms (const jd_node_t *node, int timeout_ms)
+{
+  if (!node->lease)
+    return timeout_ms;
+  int64_t left_us = jd_lease_next_tick_us (node->lease) - jd_node_now_us (node);
+  int64_t left_ms = left_us <= 0 ? 0 : (left_us + JD_US_PER_MS - 1) / JD_US_PER_MS;
+  return left_ms < timeout_ms ? (int)left_ms : timeout_ms;
+}
+
+/* Runs one turn of the event loop. */
+void
+jd_node_poll (jd_node_t *node, int timeout_ms)
+{
+  jd_peer_link_poll (node->link, limit_timeout_ms (node, timeout_ms));
+  if (node->feed)
+    jd_platform_feed_drain (node->feed);
+  if (!node->lease)
+    return;
+  int64_t now_us = jd_node_now_us (node);
+  jd_lease_tick (node->lease, now_us);
+  log_lease (node, now_us);
+}
+
+/* Makes a poll return early; any thread. */
+void
+jd_node_wake (jd_node_t *node)
+{
+  jd_peer_link_wake (node->link);
+}
+
+/* Returns until when this seat owns a resource. */
+int64_t
+jd_node_owned_until_us (jd_node_t *node, const char *resource)
+{
+  if (!node->ownership)
+    return JD_LEASE_NEVER;
+  return jd_ownership_valid_until_us (node->ownership, resource, jd_node_now_us (node));
+}
+
+/* Returns until when the lease is held. */
+int64_t
+jd_node_lease_until_us (jd_node_t *node)
+{
+  if (!node->lease)
+    return JD_LEASE_NEVER;
+  return jd_lease_valid_until_us (node->lease, jd_node_now_us (node));
+}
+
+/* Sets the state that heartbeats announce. */
+void
+jd_node_set_state (jd_node_t *node, jd_seat_state_t state)
+{
+  if (node->lease)
+    jd_lease_set_state (node->lease, state, jd_node_now_us (node));
+}
+
+/* Returns the age of the last confirmation by the platform. */
+int64_t
+jd_node_platform_age_us (jd_node_t *node)
+{
+  int64_t confirmed_us = node->confirmed_us;
+  return confirmed_us < 0 ? -1 : jd_node_now_us (node) - confirmed_us;
+}
--- /dev/null
+++ b/src/daemons/platform_feed.c
@@ -0,0 +1,140 @@
+#include "daemons/platform_feed.h"
+
+/* What one item of the queue reports. */
+typedef enum feed_kind
+{
+  FEED_RECORD,
+  FEED_CONFIRMED,
+  FEED_HOSTS,
+} feed_kind_t;
+
+typedef struct feed_item
+{
+  feed_kind_t kind;
+  char *name;
+  char *text;
+  size_t length;
+  int64_t sent_us;
+} feed_item_t;
+
+struct jd_platform_feed
+{
+  jd_platform_feed_options_t options;
+  jd_philox_t random;
+  GAsyncQueue *items;
+  jd_platform_client_t *client;
+};
+
+/* Frees one item. */
+static void
+free_item (gpointer data)
+{
+  feed_item_t *item = data;
+  g_free (item->name);
+  g_free (item->text);
+  g_free (item);
+}
+
+/* Queues an item and wakes the event loop. */
+static void
+push (jd_platform_feed_t *feed, feed_item_t item)
+{
+  g_async_queue_push (feed->items, g_memdup2 (&item, sizeof (item)));
+  feed->options.wake (feed->options.context);
+}
+
+/* Record callback of the platform client. */
+static void
+on_record (void *context, const char *name, const char *text, size_t length)
+{
+  push (context, (feed_item_t){ .kind = FEED_RECORD,
+                                .name = g_strdup (name),
+                                .text = g_strndup (text, length),
+                                .length = length });
+}
+
+/* Confirmation callback of the platform client. */
+static void
+on_confirmed (void *context, int64_t sent_us)
+{
+  push (context, (feed_item_t){ .kind = FEED_CONFIRMED, .sent_us = sent_us });
+}
+
+/* Host list callback of the platform client. */
+static void
+on_hosts (void *context, const char *text, size_t length)
+{
+  push (context, (feed_item_t){
+                     .kind = FEED_HOSTS, .text = g_strndup (text, length), .length = length });
+}
+
+/* Starts to read and watch the platform. */
+jd_platform_feed_t *
+jd_platform_feed_new (const jd_platform_feed_options_t *options)
+{
+  jd_platform_feed_t *feed = g_new0 (jd_platform_feed_t, 1);
+  feed->options = *options;
+  feed->random.seed = jd_entropy ();
+  feed->items = g_async_queue_new_full (free_item);
+  jd_platform_client_options_t client = {
+    .base_url = options->url,
+    .watch = TRUE,
+    .clock = options->clock,
+    .rng = jd_philox_rng (&feed->random),
+    .counters = options->counters,
+    .on_record = on_record,
+    .on_confirmed = on_confirmed,
+    .on_hosts = on_hosts,
+    .context = feed,
+  };
+  feed->client = jd_platform_client_new (&client);
+  return feed;
+}
+
+/* Stops the client and drops what is queued. */
+void
+jd_platform_feed_free (jd_platform_feed_t *feed)
+{
+  if (!feed)
+    return;
+  jd_platform_client_free (feed->client);
+  g_async_queue_unref (feed->items);
+  g_free (feed);
+}
+
+/* Calls the callback of one item. */
+static void
+deliver (const jd_platform_feed_options_t *options, const feed_item_t *item)
+{
+  switch (item->kind)
+    {
+    case FEED_RECORD:
+      options->on_record (options->context, item->name, item->text, item->length);
+      break;
+    case FEED_CONFIRMED:
+      options->on_confirmed (options->context, item->sent_us);
+      break;
+    case FEED_HOSTS:
+      options->on_hosts (options->context, item->text, item->length);
+      break;
+    }
+}
+
+/* Delivers everything that is queued, in order. */
+void
+jd_platform_feed_drain (jd_platform_feed_t *feed)
+{
+  feed_item_t *item;
+  while ((item = g_async_queue_try_pop (feed->items)))
+    {
+      deliver (&feed->options, item);
+      free_item (item);
+    }
+}
+
+/* Begins or ends the watch of the platform. */
+void
+jd_platform_feed_set_watching (jd_platform_feed_t *feed, gboolean watching)
+{
+  jd_platform_client_set_watching (feed->client, watching);
+}
