--- /dev/null
+++ b/test/stand_ins/platform_hosts.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+/* The platform's list of hosts, which readers see late. Not thread-safe. */
+typedef struct jd_platform_hosts jd_platform_hosts_t;
+
+jd_platform_hosts_t *jd_platform_hosts_new (const char *text);
+void jd_platform_hosts_free (jd_platform_hosts_t *hosts);
+void jd_platform_hosts_put (jd_platform_hosts_t *hosts, const char *text, int64_t now_us);
+/* Returns the newest list that is at least lag_us old, else the first one. */
+const char *jd_platform_hosts_get (const jd_platform_hosts_t *hosts, int64_t now_us,
+                                   int64_t lag_us);
