--- /dev/null
+++ b/src/routing/broker_target.c
@@ -0,0 +1,69 @@
+#include "routing/broker_target.h"
+
+#include <string.h>
+
+/* Makes a target that is not owned. */
+jd_broker_target_t *
+jd_broker_target_new (const char *name, const jd_gate_settings_t *settings,
+                      uint32_t queue_length, int64_t now_us)
+{
+  jd_broker_target_t *target = g_new0 (jd_broker_target_t, 1);
+  g_strlcpy (target->name, name, sizeof (target->name));
+  jd_target_gate_init (&target->gate, settings, now_us);
+  target->queue = jd_broker_queue_new (queue_length);
+  return target;
+}
+
+/* Frees the target; its queue must be empty or its items freed elsewhere. */
+void
+jd_broker_target_free (jd_broker_target_t *target)
+{
+  jd_broker_queue_free (target->queue);
+  g_free (target);
+}
+
+/* Returns JD_OK when the target takes new work now, else the code of the refusal. */
+jd_result_code_t
+jd_broker_target_usable (const jd_broker_target_t *target, int64_t now_us)
+{
+  if (!target->owned || now_us >= target->valid_until_us)
+    return JD_NOT_OWNER;
+  if (target->leaving || target->draining)
+    return JD_NO_TARGET;
+  return JD_OK;
+}
+
+/* Estimates the end of new work from the learned median, the attempts that would go
+ * first and a pause of the gate. Without a learned median it is now, so that nothing is
+ * refused on a guess. */
+int64_t
+jd_broker_target_estimate_us (const jd_broker_target_t *target, int64_t deadline_us,
+                              int64_t now_us)
+{
+  const jd_target_gate_t *gate = &target->gate;
+  int64_t begin_us = MAX (now_us, gate->blocked_until_us);
+  uint32_t limit = jd_target_gate_limit (gate, now_us);
+  uint32_t before = gate->in_flight + jd_broker_queue_ahead (target->queue, deadline_us);
+  if (before < limit)
+    return begin_us + gate->median_us;
+  /* The attempts in flight are half done on average. */
+  uint32_t rounds_twice = 2 * (before - limit) / limit + 1;
+  return begin_us + gate->median_us * rounds_twice / 2 + gate->median_us;
+}
+
+/* Fills in what entries are told about the target. */
+void
+jd_broker_target_status (const jd_broker_target_t *target, int64_t now_us,
+                         jd_target_status_t *status)
+{
+  *status = (jd_target_status_t){
+    .limit = jd_target_gate_limit (&target->gate, now_us),
+    .in_flight = target->gate.in_flight,
+    .queued = jd_broker_queue_length (target->queue),
+    .cold = target->gate.cold ? 1 : 0,
+    .draining = target->draining || target->leaving ? 1 : 0,
+    .snapshot_count = target->health.snapshot_count,
+  };
+  memcpy (status->target, target->name, sizeof (status->target));
+  memcpy (status->snapshots, target->health.snapshots, sizeof (status->snapshots));
+}
