--- /dev/null
+++ b/src/routing/hedge_budget.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+/* Token bucket for extra requests (hedged requests and retries), filled by a fraction
+ * of the first requests sent. */
+typedef struct jd_hedge_budget
+{
+  double tokens;
+  uint64_t first_requests;
+  uint64_t extra_requests;
+  uint64_t denied;
+} jd_hedge_budget_t;
+
+void jd_hedge_budget_add (jd_hedge_budget_t *budget, uint32_t requests, double fraction);
+gboolean jd_hedge_budget_take (jd_hedge_budget_t *budget);
