--- /dev/null
+++ b/test/random/test_query_rules.c
@@ -0,0 +1,338 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "support/query_history.h"
+#include "support/test_main.h"
+#include "support/tier.h"
+
+#define RUN_US (5 * JD_US_PER_S)
+#define FIXED_SEEDS 30
+
+/* Mechanisms that a run may switch off, to show that the checks find the result. */
+typedef struct switches
+{
+  gboolean retry_edits;
+  gboolean no_cold_inference;
+  gboolean no_snapshot_check;
+} switches_t;
+
+/* One seeded run. */
+typedef struct run
+{
+  jd_tier_t *tier;
+  jd_query_history_t *history;
+  jd_philox_t philox;
+  jd_rng_t rng;
+  uint32_t shard_count; /* Of the present map. */
+  uint64_t newest_snapshot;
+  uint64_t last_query;
+  uint32_t last_entry;
+  uint32_t answers;
+} run_t;
+
+static uint32_t
+below (run_t *run, uint32_t bound)
+{
+  return (uint32_t)jd_rng_below (&run->rng, bound);
+}
+
+static int64_t
+ms_below (run_t *run, uint32_t bound_ms)
+{
+  return below (run, bound_ms) * JD_US_PER_MS;
+}
+
+/* 2 ms to 6 ms, and 1 in 20 ten times as long. */
+static int64_t
+service_us (void *context, const jd_model_request_t *request)
+{
+  run_t *run = context;
+  int64_t time_us = 2000 + below (run, 4000);
+  return below (run, 20) == 0 ? 10 * time_us : time_us;
+}
+
+static void
+on_execute (void *context, const jd_model_request_t *request, uint32_t load,
+            uint32_t capacity)
+{
+  run_t *run = context;
+  jd_query_history_executed (run->history, request->text, request->target->shard,
+                             request->snapshot, load, capacity);
+}
+
+static void
+on_answer (void *context, uint32_t entry, const jd_answer_t *answer)
+{
+  run_t *run = context;
+  run->answers++;
+  jd_query_history_answered (run->history, answer);
+}
+
+/* Event: a caller's request, and the next one some time later. */
+static void
+submit (void *context, void *data)
+{
+  run_t *run = context;
+  jd_tier_t *tier = run->tier;
+  jd_request_t request = { .service = "desk", .organisation = "o" };
+  if (run->shard_count == 1)
+    request.kind = (jd_work_kind_t)below (run, 3);
+  request.limit = below (run, 2) ? 3 : 100;
+  uint32_t number = jd_query_history_request (run->history, request.kind, request.limit,
+                                              run->shard_count);
+  char text[16];
+  g_snprintf (text, sizeof (text), "r%u", number);
+  request.text = text;
+  request.user = GUINT_TO_POINTER (number);
+  if (request.kind == JD_WORK_EDIT)
+    {
+      request.body = "{}";
+      request.body_bytes = 2;
+    }
+  run->last_entry = below (run, tier->options.entries);
+  run->last_query = jd_tier_submit (tier, run->last_entry, &request);
+  int64_t next_us = jd_sim_now_us (tier->sim) + 200 + below (run, 12000);
+  if (next_us < RUN_US)
+    jd_sim_at (tier->sim, next_us, submit, run, NULL, NULL);
+}
+
+/* Event: a target starts again. */
+static void
+start_target (void *context, void *data)
+{
+  jd_model_target_t *target = data;
+  target->silent = FALSE;
+  jd_model_target_set_down (target, FALSE);
+}
+
+/* Takes a target down for one to two seconds; some of them stop without a sign. */
+static void
+restart_target (run_t *run, jd_model_target_t *target)
+{
+  if (target->down)
+    return;
+  target->silent = below (run, 3) == 0;
+  target->hides_boot = below (run, 3) == 0;
+  jd_model_target_set_down (target, TRUE);
+  jd_sim_at (run->tier->sim,
+             jd_sim_now_us (run->tier->sim) + JD_US_PER_S + ms_below (run, 1000),
+             start_target, run, target, NULL);
+}
+
+/* Gives one target the next snapshot. */
+static void
+advance_snapshot (run_t *run, jd_model_target_t *target)
+{
+  if (below (run, 4) == 0)
+    run->newest_snapshot++;
+  if (target->snapshots[0] == run->newest_snapshot)
+    return;
+  target->snapshots[1] = target->snapshots[0];
+  target->snapshots[0] = run->newest_snapshot;
+}
+
+/* Event: something goes wrong or changes, and the next such event some time later. */
+static void
+disturb (void *context, void *data)
+{
+  run_t *run = context;
+  jd_tier_t *tier = run->tier;
+  jd_model_target_t *target = &tier->targets[below (run, tier->target_count)];
+  switch (below (run, 8))
+    {
+    case 0:
+      restart_target (run, target);
+      break;
+    case 1:
+    case 2:
+      advance_snapshot (run, target);
+      break;
+    case 3:
+      if (tier->options.shards > 1)
+        {
+          run->shard_count = tier->options.shards - below (run, 2);
+          jd_tier_publish_map (tier, run->shard_count);
+        }
+      break;
+    case 4:
+      jd_tier_pause_entry (tier, below (run, tier->options.entries), ms_below (run, 300));
+      break;
+    case 5:
+      jd_tier_pause_broker (tier, below (run, tier->options.brokers),
+                            ms_below (run, 1200));
+      break;
+    case 6:
+      jd_tier_move_target (tier, (uint32_t)(target - tier->targets),
+                           below (run, tier->options.brokers));
+      break;
+    default:
+      target->ignores_snapshot = below (run, 2);
+      jd_tier_cancel (tier, run->last_entry, run->last_query);
+      break;
+    }
+  jd_sim_at (tier->sim, jd_sim_now_us (tier->sim) + ms_below (run, 120), disturb, run,
+             NULL, NULL);
+}
+
+/* Returns the options of a run; odd seeds have a service with one shard, which takes
+ * fetches and edits as well. */
+static jd_tier_options_t
+options_of (uint64_t seed, const switches_t *switches)
+{
+  gboolean single = seed % 2;
+  jd_tier_options_t options = {
+    .seed = seed,
+    .entries = 3,
+    .brokers = 3,
+    .zones = 3,
+    .shards = single ? 1 : 6,
+    .replicas = single ? 3 : 2,
+    .slots = single ? 6 : 2,
+    .cold_replies = 30,
+    .report_interval_us = 50 * JD_US_PER_MS,
+    .deadline_ms = 60,
+    .hedge_quantile = 0.95,
+    .hedge_budget = 0.1,
+    .network = { .hop_us = 500,
+                 .zone_hop_us = 100,
+                 .jitter_us = 500,
+                 .loss = 0.01,
+                 .duplicate = 0.05,
+                 .late = 0.05,
+                 .late_us = 80 * JD_US_PER_MS,
+                 .target_hop_us = 100 },
+    .entry = jd_entry_settings_default (""),
+    .broker = jd_broker_settings_default (),
+  };
+  options.entry.retry_edits = switches->retry_edits;
+  options.entry.check_snapshot = !switches->no_snapshot_check;
+  options.broker.infer_cold = !switches->no_cold_inference;
+  return options;
+}
+
+/* Runs one seed. Returns the violations as one text, empty when there are none. */
+static char *
+run_seed (uint64_t seed, const switches_t *switches, uint32_t *good)
+{
+  run_t run = { .philox = { .seed = seed, .stream = 2 }, .newest_snapshot = 2 };
+  run.rng = jd_philox_rng (&run.philox);
+  run.history = jd_query_history_new ();
+  jd_tier_options_t options = options_of (seed, switches);
+  jd_tier_hooks_t hooks = { service_us, on_execute, on_answer, &run };
+  run.shard_count = options.shards;
+  run.tier = jd_tier_new (&options, &hooks);
+  int64_t start_us = jd_sim_now_us (run.tier->sim);
+  jd_sim_at (run.tier->sim, start_us + 200 * JD_US_PER_MS, submit, &run, NULL, NULL);
+  jd_sim_at (run.tier->sim, start_us + 500 * JD_US_PER_MS, disturb, &run, NULL, NULL);
+  jd_sim_run (run.tier->sim, RUN_US + 2 * JD_US_PER_S);
+  GString *text = g_string_new (NULL);
+  GPtrArray *violations = jd_query_history_check (run.history);
+  for (guint i = 0; i < violations->len; i++)
+    g_string_append_printf (text, "%s\n",
+                            (const char *)g_ptr_array_index (violations, i));
+  if (good)
+    *good += jd_query_history_answers (run.history, JD_OK);
+  jd_tier_free (run.tier);
+  jd_query_history_free (run.history);
+  return g_string_free (text, FALSE);
+}
+
+/* Runs seeds and prints those with violations. Returns their number. */
+static uint32_t
+run_seeds (uint64_t first, uint64_t count, uint32_t *good)
+{
+  uint32_t failed = 0;
+  const switches_t all_on = { 0 };
+  for (uint64_t seed = first; seed < first + count; seed++)
+    {
+      char *violations = run_seed (seed, &all_on, good);
+      if (*violations)
+        {
+          failed++;
+          printf ("seed %" PRIu64 ":\n%s", seed, violations);
+        }
+      g_free (violations);
+    }
+  return failed;
+}
+
+/* Guards against any broken rule under faults: the history of every fixed seed is
+ * clean. That at least 20 full answers came per run shows that it was not empty. */
+static void
+rules_hold_under_faults (void)
+{
+  uint32_t good = 0;
+  CU_ASSERT_EQUAL (run_seeds (1, FIXED_SEEDS, &good), 0);
+  CU_ASSERT (good >= 20 * FIXED_SEEDS);
+}
+
+/* Returns whether a rule is reported as broken within the fixed seeds when mechanisms
+ * are switched off. */
+static gboolean
+is_found (const char *rule, const switches_t *switches)
+{
+  gboolean found = FALSE;
+  for (uint64_t seed = 1; seed <= FIXED_SEEDS && !found; seed++)
+    {
+      char *violations = run_seed (seed, switches, NULL);
+      found = strstr (violations, rule) != NULL;
+      g_free (violations);
+    }
+  return found;
+}
+
+/* Guards against checks that find nothing: repeated edits break at_most_once. */
+static void
+repeated_edits_are_found (void)
+{
+  CU_ASSERT (is_found ("at_most_once", &(switches_t){ .retry_edits = TRUE }));
+}
+
+/* The same for cold_limit: full load at once after a restart. */
+static void
+full_load_on_cold_targets_is_found (void)
+{
+  CU_ASSERT (is_found ("cold_limit", &(switches_t){ .no_cold_inference = TRUE }));
+}
+
+/* The same for one_snapshot: replies of any snapshot are merged. */
+static void
+mixed_snapshots_are_found (void)
+{
+  CU_ASSERT (is_found ("one_snapshot", &(switches_t){ .no_snapshot_check = TRUE }));
+}
+
+/* Guards against a run that depends on anything but its seed. */
+static void
+same_seed_gives_same_run (void)
+{
+  uint32_t first = 0;
+  uint32_t second = 0;
+  g_free (run_seed (4, &(switches_t){ 0 }, &first));
+  g_free (run_seed (4, &(switches_t){ 0 }, &second));
+  CU_ASSERT_EQUAL (first, second);
+}
+
+/* With arguments FIRST_SEED COUNT, runs these seeds instead of the fixed ones. */
+int
+main (int argc, char **argv)
+{
+  if (argc == 3)
+    {
+      uint32_t good = 0;
+      uint32_t failed = run_seeds (g_ascii_strtoull (argv[1], NULL, 10),
+                                   g_ascii_strtoull (argv[2], NULL, 10), &good);
+      printf ("%u seeds with violations, %u full answers\n", failed, good);
+      return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+    }
+  const jd_test_case_t cases[] = {
+    { "rules hold under faults", rules_hold_under_faults },
+    { "repeated edits are found", repeated_edits_are_found },
+    { "full load on cold targets is found", full_load_on_cold_targets_is_found },
+    { "mixed snapshots are found", mixed_snapshots_are_found },
+    { "same seed gives same run", same_seed_gives_same_run },
+  };
+  return JD_TEST_RUN ("query_rules", cases);
+}
--- /dev/null
+++ b/test/support/query_history.c
@@ -0,0 +1,303 @@
+#include "support/query_history.h"
+
+#include <inttypes.h>
+#include <math.h>
+
+#include "support/tier.h"
+
+/* Hits of one shard; see model_target.c. */
+#define HITS_PER_SHARD 2
+
+typedef struct execution
+{
+  uint32_t shard;
+  uint64_t snapshot;
+} execution_t;
+
+typedef struct answer_hit
+{
+  char *text;
+  uint32_t shard;
+  uint64_t snapshot;
+  double score;
+} answer_hit_t;
+
+typedef struct history_request
+{
+  jd_work_kind_t kind;
+  uint32_t limit;
+  uint32_t shard_count;
+  uint32_t answer_count;
+  jd_answer_t answer; /* Without hits. */
+  GArray *hits;       /* answer_hit_t */
+  GArray *executions; /* execution_t */
+} history_request_t;
+
+struct jd_query_history
+{
+  GPtrArray *requests;   /* history_request_t */
+  GPtrArray *violations; /* Found while recording. */
+};
+
+/* Frees one recorded request. */
+static void
+free_request (gpointer pointer)
+{
+  history_request_t *request = pointer;
+  for (guint i = 0; i < request->hits->len; i++)
+    g_free (g_array_index (request->hits, answer_hit_t, i).text);
+  g_array_free (request->hits, TRUE);
+  g_array_free (request->executions, TRUE);
+  g_free (request);
+}
+
+/* Makes an empty history. */
+jd_query_history_t *
+jd_query_history_new (void)
+{
+  jd_query_history_t *history = g_new0 (jd_query_history_t, 1);
+  history->requests = g_ptr_array_new_with_free_func (free_request);
+  history->violations = g_ptr_array_new_with_free_func (g_free);
+  return history;
+}
+
+/* Frees the history. */
+void
+jd_query_history_free (jd_query_history_t *history)
+{
+  g_ptr_array_free (history->requests, TRUE);
+  g_ptr_array_free (history->violations, TRUE);
+  g_free (history);
+}
+
+static void violate (jd_query_history_t *history, const char *rule, const char *format,
+                     ...) G_GNUC_PRINTF (3, 4);
+
+/* Notes a violation of a rule. */
+static void
+violate (jd_query_history_t *history, const char *rule, const char *format, ...)
+{
+  va_list arguments;
+  va_start (arguments, format);
+  char *details = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  g_ptr_array_add (history->violations, g_strdup_printf ("%s: %s", rule, details));
+  g_free (details);
+}
+
+/* Records a request. */
+uint32_t
+jd_query_history_request (jd_query_history_t *history, jd_work_kind_t kind,
+                          uint32_t limit, uint32_t shard_count)
+{
+  history_request_t *request = g_new0 (history_request_t, 1);
+  request->kind = kind;
+  request->limit = limit;
+  request->shard_count = shard_count;
+  request->hits = g_array_new (FALSE, TRUE, sizeof (answer_hit_t));
+  request->executions = g_array_new (FALSE, TRUE, sizeof (execution_t));
+  g_ptr_array_add (history->requests, request);
+  return history->requests->len - 1;
+}
+
+/* Records the start of an execution and checks the load of the target. */
+void
+jd_query_history_executed (jd_query_history_t *history, const char *text, uint32_t shard,
+                           uint64_t snapshot, uint32_t load, uint32_t capacity)
+{
+  if (load > capacity)
+    violate (history, "cold_limit", "%s is request %u at a target that takes %u", text,
+             load, capacity);
+  uint64_t number = g_ascii_strtoull (text + 1, NULL, 10);
+  history_request_t *request = g_ptr_array_index (history->requests, number);
+  execution_t execution = { .shard = shard, .snapshot = snapshot };
+  g_array_append_val (request->executions, execution);
+}
+
+/* Splits the id of a hit: text, shard, snapshot, rank. */
+static answer_hit_t
+parse_hit (const jd_hit_t *hit)
+{
+  char **parts = g_strsplit (hit->id, "/", 4);
+  answer_hit_t parsed = { .text = g_strdup (parts[0]), .score = hit->score };
+  parsed.shard = (uint32_t)g_ascii_strtoull (parts[1] + 1, NULL, 10);
+  parsed.snapshot = g_ascii_strtoull (parts[2], NULL, 10);
+  g_strfreev (parts);
+  return parsed;
+}
+
+/* Records an answer. */
+void
+jd_query_history_answered (jd_query_history_t *history, const jd_answer_t *answer)
+{
+  history_request_t *request =
+      g_ptr_array_index (history->requests, GPOINTER_TO_UINT (answer->user));
+  request->answer_count++;
+  request->answer = *answer;
+  request->answer.hits = NULL;
+  for (uint32_t i = 0; i < answer->hit_count; i++)
+    {
+      answer_hit_t hit = parse_hit (&answer->hits[i]);
+      g_array_append_val (request->hits, hit);
+    }
+}
+
+/* Returns whether a shard ran a request on its snapshot. */
+static gboolean
+ran_on (const history_request_t *request, uint32_t shard)
+{
+  for (guint i = 0; i < request->executions->len; i++)
+    {
+      const execution_t *execution = &g_array_index (request->executions, execution_t, i);
+      if (execution->shard == shard && execution->snapshot == request->answer.snapshot)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Returns the number of hits of a shard in the answer. */
+static uint32_t
+hits_of (const history_request_t *request, uint32_t shard)
+{
+  uint32_t count = 0;
+  for (guint i = 0; i < request->hits->len; i++)
+    count += g_array_index (request->hits, answer_hit_t, i).shard == shard;
+  return count;
+}
+
+/* Checks the coverage of a search against executions, and against the hits when none
+ * had to be left out. */
+static void
+check_coverage (jd_query_history_t *history, const history_request_t *request,
+                uint32_t number)
+{
+  uint64_t total = 0;
+  uint64_t ran = 0;
+  uint64_t seen = 0;
+  for (uint32_t s = 0; s < request->shard_count; s++)
+    {
+      uint32_t hits = hits_of (request, s);
+      total += jd_tier_weight (s);
+      ran += ran_on (request, s) ? jd_tier_weight (s) : 0;
+      seen += hits ? jd_tier_weight (s) : 0;
+      if (hits > HITS_PER_SHARD)
+        violate (history, "whole_answer", "r%u has %u hits of shard %u", number, hits, s);
+    }
+  double covered = request->answer.coverage * (double)total;
+  if (covered > (double)ran + 0.5)
+    violate (history, "true_coverage", "r%u says %.1f, only %" PRIu64 " ran", number,
+             covered, ran);
+  gboolean all_hits = request->limit >= HITS_PER_SHARD * request->shard_count;
+  if (all_hits && fabs (covered - (double)seen) > 0.5)
+    violate (history, "true_coverage", "r%u says %.1f, has %" PRIu64, number, covered,
+             seen);
+}
+
+/* Orders scores, best first. */
+static gint
+compare_scores (gconstpointer a, gconstpointer b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+  return (left < right) - (left > right);
+}
+
+/* Checks that a full answer has the best hits over all shards. */
+static void
+check_best_hits (jd_query_history_t *history, const history_request_t *request,
+                 uint32_t number)
+{
+  char text[16];
+  g_snprintf (text, sizeof (text), "r%u", number);
+  GArray *scores = g_array_new (FALSE, FALSE, sizeof (double));
+  for (uint32_t s = 0; s < request->shard_count; s++)
+    {
+      char shard[16];
+      g_snprintf (shard, sizeof (shard), "s%u", s);
+      for (uint32_t i = 0; i < MIN (HITS_PER_SHARD, request->limit); i++)
+        {
+          double score = jd_model_score (text, shard) - i;
+          g_array_append_val (scores, score);
+        }
+    }
+  g_array_sort (scores, compare_scores);
+  guint wanted = MIN (scores->len, request->limit);
+  if (request->hits->len != wanted)
+    violate (history, "whole_answer", "r%u has %u of %u hits", number, request->hits->len,
+             wanted);
+  for (guint i = 0; i < MIN (wanted, request->hits->len); i++)
+    {
+      if (g_array_index (request->hits, answer_hit_t, i).score !=
+          g_array_index (scores, double, i))
+        violate (history, "whole_answer", "r%u lacks hit %u", number, i);
+    }
+  g_array_free (scores, TRUE);
+}
+
+/* Checks that all hits are of the own request and of one snapshot. */
+static void
+check_hits (jd_query_history_t *history, const history_request_t *request,
+            uint32_t number)
+{
+  char text[16];
+  g_snprintf (text, sizeof (text), "r%u", number);
+  for (guint i = 0; i < request->hits->len; i++)
+    {
+      const answer_hit_t *hit = &g_array_index (request->hits, answer_hit_t, i);
+      if (!g_str_equal (hit->text, text))
+        violate (history, "whole_answer", "r%u has a hit of %s", number, hit->text);
+      if (hit->snapshot != request->answer.snapshot)
+        violate (history, "one_snapshot",
+                 "r%u of snapshot %" PRIu64 " has a hit of %" PRIu64, number,
+                 request->answer.snapshot, hit->snapshot);
+    }
+}
+
+/* Checks one request at the end of a run. */
+static void
+check_request (jd_query_history_t *history, const history_request_t *request,
+               uint32_t number)
+{
+  const jd_answer_t *answer = &request->answer;
+  guint executions = request->executions->len;
+  if (request->answer_count != 1)
+    {
+      violate (history, "whole_answer", "r%u has %u answers", number,
+               request->answer_count);
+      return;
+    }
+  if (answer->ran == JD_RAN_NO && executions > 0)
+    violate (history, "true_not_run", "r%u ran %u times", number, executions);
+  if (answer->ran == JD_RAN_YES && executions == 0)
+    violate (history, "true_not_run", "r%u is said to have run", number);
+  if (request->kind == JD_WORK_EDIT && executions > 1)
+    violate (history, "at_most_once", "edit r%u ran %u times", number, executions);
+  check_hits (history, request, number);
+  if (request->kind != JD_WORK_SEARCH)
+    return;
+  check_coverage (history, request, number);
+  if (answer->code == JD_OK)
+    check_best_hits (history, request, number);
+}
+
+/* Checks the whole run. */
+GPtrArray *
+jd_query_history_check (jd_query_history_t *history)
+{
+  for (guint i = 0; i < history->requests->len; i++)
+    check_request (history, g_ptr_array_index (history->requests, i), i);
+  return history->violations;
+}
+
+/* Returns the number of answers with a code. */
+uint32_t
+jd_query_history_answers (const jd_query_history_t *history, jd_result_code_t code)
+{
+  uint32_t count = 0;
+  for (guint i = 0; i < history->requests->len; i++)
+    {
+      const history_request_t *request = g_ptr_array_index (history->requests, i);
+      count += request->answer_count > 0 && request->answer.code == code;
+    }
+  return count;
+}
--- /dev/null
+++ b/test/support/tier.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "routing/broker_core.h"
+#include "routing/entry_core.h"
+#include "support/model_target.h"
+
+/* Delay and faults of the messages between entries and brokers. */
+typedef struct jd_tier_network
+{
+  int64_t hop_us;      /* One way between two zones. */
+  int64_t zone_hop_us; /* One way inside a zone. */
+  int64_t jitter_us;   /* Added, uniform. */
+  double loss;         /* Fractions of the messages. */
+  double duplicate;
+  double late; /* Delayed by up to late_us, so that messages cross. */
+  int64_t late_us;
+  int64_t target_hop_us; /* One way between a broker and its target. */
+} jd_tier_network_t;
+
+typedef struct jd_tier_options
+{
+  uint64_t seed;
+  uint32_t entries;
+  uint32_t brokers; /* Broker i is in zone i % zones. */
+  uint32_t zones;
+  uint32_t shards;
+  uint32_t replicas;
+  uint32_t slots;
+  uint32_t cold_replies; /* See jd_model_target_t. */
+  int64_t report_interval_us;
+  uint32_t deadline_ms;
+  double hedge_quantile;
+  double hedge_budget;
+  jd_tier_network_t network;
+  jd_entry_settings_t entry;
+  jd_broker_settings_t broker;
+} jd_tier_options_t;
+
+typedef struct jd_tier jd_tier_t;
+
+/* What happens in a tier, for its user. */
+typedef struct jd_tier_hooks
+{
+  int64_t (*service_us) (void *context, const jd_model_request_t *request);
+  void (*on_execute) (void *context, const jd_model_request_t *request, uint32_t load,
+                      uint32_t capacity);
+  void (*on_answer) (void *context, uint32_t entry, const jd_answer_t *answer);
+  void *context;
+} jd_tier_hooks_t;
+
+/* Entry cores, broker cores and model targets of one service, "desk", over a network
+ * in memory. Processes may pause, targets may restart or change their broker. */
+struct jd_tier
+{
+  jd_sim_t *sim;
+  jd_philox_t philox;
+  jd_rng_t rng;
+  jd_tier_options_t options;
+  jd_tier_hooks_t hooks;
+  struct jd_tier_entry *entries;
+  struct jd_tier_broker *brokers;
+  jd_model_target_t *targets; /* Shard s, replica r is s * replicas + r. */
+  uint32_t target_count;
+  uint64_t map_version;
+  uint64_t work_messages;
+};
+
+jd_tier_t *jd_tier_new (const jd_tier_options_t *options, const jd_tier_hooks_t *hooks);
+void jd_tier_free (jd_tier_t *tier);
+uint64_t jd_tier_submit (jd_tier_t *tier, uint32_t entry, const jd_request_t *request);
+void jd_tier_cancel (jd_tier_t *tier, uint32_t entry, uint64_t query_id);
+/* Publishes a new shard map with the first shard_count shards. */
+void jd_tier_publish_map (jd_tier_t *tier, uint32_t shard_count);
+/* Stops the event handling of a process for a time; messages wait. */
+void jd_tier_pause_entry (jd_tier_t *tier, uint32_t entry, int64_t duration_us);
+void jd_tier_pause_broker (jd_tier_t *tier, uint32_t broker, int64_t duration_us);
+/* Moves a target to another broker, with the takeover wait in between. */
+void jd_tier_move_target (jd_tier_t *tier, uint32_t target, uint32_t broker);
+uint64_t jd_tier_weight (uint32_t shard);
+const jd_entry_counts_t *jd_tier_entry_counts (const jd_tier_t *tier, uint32_t entry);
+void jd_tier_load (const jd_tier_t *tier, uint64_t *first, uint64_t *extra);
