feat(target_client): send work to targets with curl's multi interface

Cause: the broker needs kept connections, attempts that never wait behind a silent one, and a certain answer to whether an edit was sent. Ruled out: the ulfius client (one connection per request), a thread per attempt, and CURLINFO_REQUEST_SIZE as the proof of "not sent": curl's callback right before the write is certain and can also refuse the write. Measured: process_test_target_client in both builds: 5 requests share one connection, an edit whose connection dies after the read is read once, an unsent attempt leaves no request at the target, crossed replies close the connection, three silent connections delay no other attempt, a cancellation reaches the target.

--- /dev/null
+++ b/src/transport/target_client.c
@@ -0,0 +1,378 @@
+#include "transport/target_client.h"
+
+#include "transport/target_body.h"
+#include "transport/target_exchange.h"
+#include "transport/target_pool.h"
+
+/* The receiver ends attempts at their deadline itself; curl's own time-out closes a
+ * connection that is still silent after that. */
+#define DEADLINE_MARGIN_US (10 * JD_US_PER_MS)
+#define CANCEL_TIMEOUT_US (500 * JD_US_PER_MS)
+
+/* One address of one target. */
+typedef struct client_target
+{
+  jd_name_t name;
+  jd_target_pool_t *pool;
+  jd_target_exchange_t *probe; /* Running health read, or NULL. */
+  GPtrArray *exchanges;        /* All running ones. */
+} client_target_t;
+
+struct jd_target_client
+{
+  jd_target_client_options_t options;
+  GHashTable *by_name; /* name -> client_target_t in use */
+  GPtrArray *targets;  /* client_target_t, also replaced ones that still run something */
+  GHashTable *by_handle; /* handle -> jd_target_exchange_t of work */
+  GQueue starting;       /* jd_target_exchange_t that no pool has yet */
+  GQueue aborted;        /* jd_target_exchange_t of work to be ended as not sent */
+  uint64_t probe_count;
+};
+
+/* Frees a target that runs nothing; also the element free function. */
+static void
+free_target (gpointer data)
+{
+  client_target_t *target = data;
+  jd_target_pool_free (target->pool);
+  g_ptr_array_unref (target->exchanges);
+  g_free (target);
+}
+
+/* Creates a client without targets. */
+jd_target_client_t *
+jd_target_client_new (const jd_target_client_options_t *options)
+{
+  jd_target_client_t *client = g_new0 (jd_target_client_t, 1);
+  client->options = *options;
+  client->options.id_prefix = g_strdup (options->id_prefix);
+  client->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  client->targets = g_ptr_array_new_with_free_func (free_target);
+  client->by_handle = g_hash_table_new (g_int64_hash, g_int64_equal);
+  g_queue_init (&client->starting);
+  g_queue_init (&client->aborted);
+  return client;
+}
+
+/* Breaks off everything without reports and closes all connections. */
+void
+jd_target_client_free (jd_target_client_t *client)
+{
+  if (!client)
+    return;
+  for (guint i = 0; i < client->targets->len; i++)
+    {
+      client_target_t *target = g_ptr_array_index (client->targets, i);
+      for (guint j = 0; j < target->exchanges->len; j++)
+        {
+          jd_target_exchange_t *exchange = g_ptr_array_index (target->exchanges, j);
+          if (!g_queue_find (&client->starting, exchange))
+            jd_target_pool_remove (target->pool, exchange);
+          jd_target_exchange_free (exchange);
+        }
+    }
+  g_queue_clear (&client->starting);
+  g_queue_clear (&client->aborted);
+  g_hash_table_destroy (client->by_handle);
+  g_hash_table_destroy (client->by_name);
+  g_ptr_array_unref (client->targets);
+  g_free ((char *)client->options.id_prefix);
+  g_free (client);
+}
+
+/* Adds a target, or replaces one whose address has changed. */
+void
+jd_target_client_set_target (jd_target_client_t *client, const char *name,
+                             const char *address, uint32_t connections)
+{
+  client_target_t *target = g_hash_table_lookup (client->by_name, name);
+  if (target && g_strcmp0 (jd_target_pool_address (target->pool), address) == 0)
+    {
+      jd_target_pool_set_connections (target->pool, connections);
+      return;
+    }
+  jd_target_client_drop_target (client, name);
+  target = g_new0 (client_target_t, 1);
+  g_strlcpy (target->name, name, sizeof (target->name));
+  target->exchanges = g_ptr_array_new ();
+  target->pool = jd_target_pool_new (client->options.poll, client->options.clock, address,
+                                     connections);
+  g_ptr_array_add (client->targets, target);
+  g_hash_table_insert (client->by_name, target->name, target);
+}
+
+/* Takes a target out of use; it is freed when nothing runs there any more. */
+void
+jd_target_client_drop_target (jd_target_client_t *client, const char *name)
+{
+  g_hash_table_remove (client->by_name, name);
+}
+
+/* Prepares the options of an exchange with a target. */
+static jd_exchange_options_t
+exchange_options (const jd_target_client_t *client, const client_target_t *target,
+                  const char *request_id, int64_t timeout_us)
+{
+  return (jd_exchange_options_t){
+    .target = target->name,
+    .address = jd_target_pool_address (target->pool),
+    .request_id = request_id,
+    .clock = client->options.clock,
+    .timeout_us = timeout_us,
+    .may_write = client->options.may_write,
+    .context = client->options.context,
+  };
+}
+
+/* Queues an exchange for the next run. curl must not be called here, since this may run
+ * inside one of its callbacks. */
+static void
+enqueue (jd_target_client_t *client, client_target_t *target,
+         jd_target_exchange_t *exchange)
+{
+  exchange->owner = target;
+  g_ptr_array_add (target->exchanges, exchange);
+  g_queue_push_tail (&client->starting, exchange);
+}
+
+/* Reports an attempt that was never sent. */
+static void
+report_not_sent (jd_target_client_t *client, uint64_t handle)
+{
+  jd_target_reply_t reply = { .kind = JD_REPLY_NOT_SENT,
+                              .uptime_us = -1,
+                              .in_flight = -1 };
+  client->options.on_reply (client->options.context, handle, &reply);
+}
+
+/* Takes an attempt. */
+void
+jd_target_client_start (jd_target_client_t *client, const jd_broker_start_t *start)
+{
+  client_target_t *target = g_hash_table_lookup (client->by_name, start->target);
+  int64_t left_us = start->deadline_us - jd_clock_now_us (&client->options.clock);
+  char *id = g_strdup_printf ("%s-%" G_GUINT64_FORMAT, client->options.id_prefix,
+                              (guint64)start->handle);
+  jd_target_exchange_t *exchange = NULL;
+  if (target)
+    {
+      const jd_exchange_options_t options =
+          exchange_options (client, target, id, MAX (left_us, 0) + DEADLINE_MARGIN_US);
+      exchange = jd_target_exchange_work (&options, start);
+    }
+  g_free (id);
+  if (!exchange)
+    {
+      exchange = g_new0 (jd_target_exchange_t, 1);
+      exchange->handle = start->handle;
+      g_queue_push_tail (&client->aborted, exchange);
+      return;
+    }
+  g_hash_table_insert (client->by_handle, &exchange->handle, exchange);
+  enqueue (client, target, exchange);
+}
+
+/* Asks the target to stop a request. */
+static void
+send_cancel (jd_target_client_t *client, jd_target_exchange_t *work)
+{
+  client_target_t *target = work->owner;
+  const jd_exchange_options_t options =
+      exchange_options (client, target, work->request_id, CANCEL_TIMEOUT_US);
+  enqueue (client, target, jd_target_exchange_cancel (&options, work->handle));
+}
+
+/* Cancels an attempt. */
+void
+jd_target_client_cancel (jd_target_client_t *client, uint64_t handle)
+{
+  jd_target_exchange_t *work = g_hash_table_lookup (client->by_handle, &handle);
+  if (!work || work->is_cancelled)
+    return;
+  work->is_cancelled = TRUE;
+  if (!work->was_written && !work->has_ended)
+    {
+      g_queue_push_tail (&client->aborted, work);
+      return;
+    }
+  if (!work->has_ended)
+    /* The target may still write to this connection after it has confirmed. */
+    curl_easy_setopt (work->easy, CURLOPT_FORBID_REUSE, 1L);
+  send_cancel (client, work);
+}
+
+/* Starts a health read. */
+void
+jd_target_client_probe (jd_target_client_t *client, const char *name, int64_t timeout_us)
+{
+  client_target_t *target = g_hash_table_lookup (client->by_name, name);
+  if (!target || target->probe)
+    return;
+  char *id = g_strdup_printf ("%s-health-%" G_GUINT64_FORMAT, client->options.id_prefix,
+                              (guint64)++client->probe_count);
+  const jd_exchange_options_t options = exchange_options (client, target, id, timeout_us);
+  target->probe = jd_target_exchange_health (&options);
+  enqueue (client, target, target->probe);
+  g_free (id);
+}
+
+/* Forgets an exchange that is in no pool. */
+static void
+forget (jd_target_client_t *client, jd_target_exchange_t *exchange)
+{
+  client_target_t *target = exchange->owner;
+  if (exchange->kind == JD_EXCHANGE_WORK)
+    g_hash_table_remove (client->by_handle, &exchange->handle);
+  if (target->probe == exchange)
+    target->probe = NULL;
+  g_ptr_array_remove_fast (target->exchanges, exchange);
+  jd_target_exchange_free (exchange);
+}
+
+/* Reports the end of work; the receiver may ask for a cancellation meanwhile. */
+static void
+end_work (jd_target_client_t *client, jd_target_exchange_t *exchange, CURLcode result)
+{
+  exchange->has_ended = TRUE;
+  jd_target_exchange_finish (exchange, result);
+  if (!exchange->was_stopped)
+    client->options.on_reply (client->options.context, exchange->handle,
+                              &exchange->reply);
+}
+
+/* Reports a confirmed cancellation and breaks off the work. */
+static void
+end_cancel (jd_target_client_t *client, jd_target_exchange_t *exchange, CURLcode result)
+{
+  if (result != CURLE_OK || jd_target_exchange_status (exchange) != 200 ||
+      !jd_target_body_cancelled (exchange->body->str, exchange->body->len))
+    return;
+  uint64_t handle = exchange->handle;
+  jd_target_exchange_t *work = g_hash_table_lookup (client->by_handle, &handle);
+  if (work)
+    {
+      jd_target_pool_remove (((client_target_t *)work->owner)->pool, work);
+      forget (client, work);
+    }
+  jd_target_reply_t reply = { .kind = JD_REPLY_CANCEL_CONFIRMED,
+                              .uptime_us = -1,
+                              .in_flight = -1 };
+  client->options.on_reply (client->options.context, handle, &reply);
+}
+
+/* Reports a health read. */
+static void
+end_probe (jd_target_client_t *client, jd_target_exchange_t *exchange, CURLcode result)
+{
+  jd_target_health_t health;
+  gboolean good =
+      result == CURLE_OK && !exchange->is_crossed &&
+      jd_target_exchange_status (exchange) == 200 &&
+      jd_target_body_health (exchange->body->str, exchange->body->len, &health);
+  if (g_hash_table_lookup (client->by_name, exchange->target) == exchange->owner)
+    client->options.on_health (client->options.context, exchange->target,
+                               good ? &health : NULL);
+}
+
+/* Handles the end of an exchange that has been taken out of its pool. */
+static void
+end_exchange (jd_target_client_t *client, jd_target_exchange_t *exchange, CURLcode result)
+{
+  switch (exchange->kind)
+    {
+    case JD_EXCHANGE_WORK:
+      end_work (client, exchange, result);
+      break;
+    case JD_EXCHANGE_CANCEL:
+      end_cancel (client, exchange, result);
+      break;
+    case JD_EXCHANGE_HEALTH:
+      end_probe (client, exchange, result);
+      break;
+    }
+  forget (client, exchange);
+}
+
+/* Ends attempts as not sent that were refused or cancelled before the write. */
+static void
+end_aborted (jd_target_client_t *client)
+{
+  jd_target_exchange_t *exchange = NULL;
+  while ((exchange = g_queue_pop_head (&client->aborted)) != NULL)
+    {
+      client_target_t *target = exchange->owner;
+      if (!target)
+        {
+          report_not_sent (client, exchange->handle);
+          g_free (exchange);
+          continue;
+        }
+      if (!g_queue_remove (&client->starting, exchange))
+        jd_target_pool_remove (target->pool, exchange);
+      end_exchange (client, exchange, CURLE_ABORTED_BY_CALLBACK);
+    }
+}
+
+/* Hands new exchanges to curl. Those that find no free connection end at once. */
+static void
+start_waiting (jd_target_client_t *client)
+{
+  jd_target_exchange_t *exchange = NULL;
+  while ((exchange = g_queue_pop_head (&client->starting)) != NULL)
+    {
+      client_target_t *target = exchange->owner;
+      if (!jd_target_pool_add (target->pool, exchange))
+        end_exchange (client, exchange, CURLE_NO_CONNECTION_AVAILABLE);
+    }
+}
+
+/* Runs one target. */
+static void
+run_target (jd_target_client_t *client, client_target_t *target)
+{
+  jd_target_pool_run (target->pool);
+  jd_target_exchange_t *exchange = NULL;
+  CURLcode result = CURLE_OK;
+  while ((exchange = jd_target_pool_take_done (target->pool, &result)) != NULL)
+    {
+      /* An attempt that was cancelled before the write may have ended by itself. */
+      g_queue_remove (&client->aborted, exchange);
+      end_exchange (client, exchange, result);
+    }
+}
+
+/* Sends and reports until nothing more is to be done now. */
+void
+jd_target_client_run (jd_target_client_t *client)
+{
+  do
+    {
+      end_aborted (client);
+      start_waiting (client);
+      for (guint i = client->targets->len; i > 0; i--)
+        {
+          client_target_t *target = g_ptr_array_index (client->targets, i - 1);
+          run_target (client, target);
+          if (target->exchanges->len == 0 &&
+              g_hash_table_lookup (client->by_name, target->name) != target)
+            g_ptr_array_remove_index_fast (client->targets, i - 1);
+        }
+    }
+  while (!g_queue_is_empty (&client->starting) || !g_queue_is_empty (&client->aborted));
+}
+
+/* Returns the earliest time of curl's timers; 0 when something is waiting. */
+int64_t
+jd_target_client_next_wake_us (const jd_target_client_t *client)
+{
+  if (!g_queue_is_empty ((GQueue *)&client->starting) ||
+      !g_queue_is_empty ((GQueue *)&client->aborted))
+    return 0;
+  int64_t wake_us = INT64_MAX;
+  for (guint i = 0; i < client->targets->len; i++)
+    {
+      const client_target_t *target = g_ptr_array_index (client->targets, i);
+      wake_us = MIN (wake_us, jd_target_pool_next_wake_us (target->pool));
+    }
+  return wake_us;
+}
