feat(load): add the open-loop load tool

Sends searches, fetches and edits of several organisations to one or more entries at scheduled times, keeps a history with call and return times, and prints a table per organisation.

Cause: tail latency, coverage and service per organisation have to be measured, and histories of concurrent runs have to be checked. Ruled out: a closed loop: it sends less when answers are late and so hides the delay; latencies count from the scheduled time.

--- /dev/null
+++ b/bench/load_worker.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "load_defs.h"
+#include "load_history.h"
+
+/* A thread that sends its part of the plan's rate at the times the plan gives, whether
+ * or not earlier requests have been answered (open loop). */
+typedef struct load_worker
+{
+  const load_plan_t *plan;
+  load_history_t *history;
+  uint32_t index;
+  load_tally_t *tallies; /* One per organisation. */
+  uint64_t not_sent;     /* The in-flight limit was reached. */
+  GArray *start_lags_us; /* double; how much later than scheduled requests started. */
+  GThread *thread;
+} load_worker_t;
+
+void load_worker_start (load_worker_t *worker);
+void load_worker_join (load_worker_t *worker);
+void load_worker_clear (load_worker_t *worker);
