feat(entry): serve requests in one event loop

Cause: HTTP workers need a loop that owns limits, routing and membership. Ruled out: locks around the decision cores; one thread owns them instead.

--- a/src/base/log_event.c
+++ b/src/base/log_event.c
@@ -80,3 +80,27 @@
   g_free (escaped);
   return quoted;
 }
+
+/* Reads the name of a lowest level: error, warning, info or debug. */
+gboolean
+jd_log_parse_level (const char *name, GLogLevelFlags *level)
+{
+  static const struct
+  {
+    const char *name;
+    GLogLevelFlags level;
+  } levels[] = {
+    { "error", G_LOG_LEVEL_CRITICAL },
+    { "warning", G_LOG_LEVEL_WARNING },
+    { "info", G_LOG_LEVEL_INFO },
+    { "debug", G_LOG_LEVEL_DEBUG },
+  };
+  for (gsize i = 0; i < G_N_ELEMENTS (levels); i++)
+    {
+      if (g_strcmp0 (name, levels[i].name) != 0)
+        continue;
+      *level = levels[i].level;
+      return TRUE;
+    }
+  return FALSE;
+}
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -5,4 +5,5 @@
 void jd_log_install (const char *program, const char *seat, GLogLevelFlags lowest_level);
 void jd_log_event (GLogLevelFlags level, const char *event, const char *format, ...)
     G_GNUC_PRINTF (3, 4);
+gboolean jd_log_parse_level (const char *name, GLogLevelFlags *level);
 char *jd_log_quote (const char *text);
--- a/src/daemons/caller_request.h
+++ b/src/daemons/caller_request.h
@@ -33,6 +33,7 @@
   uint32_t limit;
   int64_t received_us;
   int64_t deadline_us;
+  uint64_t query_id; /* Of the core; used by the loop only. */
 
   GMutex lock; /* Guards the members below; no other lock is taken while it is held. */
   GCond answered;
--- /dev/null
+++ b/src/daemons/entry_limits.c
@@ -0,0 +1,256 @@
+#include "daemons/entry_limits.h"
+
+#include <string.h>
+
+#include "base/log_event.h"
+
+/* Ownership changes with heartbeats, which are 200 ms apart. */
+#define SHARE_REFRESH_US (20 * JD_US_PER_MS)
+
+struct jd_entry_limits
+{
+  jd_node_t *node;
+  jd_config_store_t *store;
+  const char *seat;
+  const char *zone;
+  jd_limit_decided_t decided;
+  void *context;
+  jd_rate_limiter_t *limiter;
+  uint32_t shares_per_zone;
+  double zone_weight;
+  uint32_t owned_shares;
+  int64_t refreshed_us;
+  gboolean releasing;
+};
+
+/* Ask callback of the limiter. */
+static void
+send_ask (void *context, const char *peer, const jd_token_ask_t *ask)
+{
+  jd_entry_limits_t *limits = context;
+  jd_message_t message = { .type = JD_MESSAGE_TOKEN_ASK, .token_ask = *ask };
+  jd_node_send (limits->node, peer, &message);
+}
+
+/* Grant callback of the limiter. A grant that is not sent loses its tokens. */
+static void
+send_grant (void *context, const char *peer, const jd_token_grant_t *grant)
+{
+  jd_entry_limits_t *limits = context;
+  jd_message_t message = { .type = JD_MESSAGE_TOKEN_GRANT, .token_grant = *grant };
+  jd_node_send (limits->node, peer, &message);
+}
+
+/* Decision callback of the limiter. */
+static void
+on_decided (void *context, uint64_t request_id, bool admitted, int64_t decided_at_us)
+{
+  jd_entry_limits_t *limits = context;
+  limits->decided (limits->context, request_id, admitted);
+}
+
+/* Creates a limiter without organisations and shares. */
+jd_entry_limits_t *
+jd_entry_limits_new (jd_node_t *node, jd_config_store_t *store, const char *seat,
+                     const char *zone, jd_limit_decided_t decided, void *context)
+{
+  jd_entry_limits_t *limits = g_new0 (jd_entry_limits_t, 1);
+  limits->node = node;
+  limits->store = store;
+  limits->seat = seat;
+  limits->zone = zone;
+  limits->decided = decided;
+  limits->context = context;
+  jd_rate_settings_t settings = jd_rate_settings_default ();
+  jd_rate_actions_t actions = {
+    .send_ask = send_ask, .send_grant = send_grant, .decided = on_decided, .context = limits
+  };
+  limits->limiter = jd_rate_limiter_new (&settings, &actions, jd_node_rng (node));
+  return limits;
+}
+
+/* Frees the limiter; waiting requests get no decision. */
+void
+jd_entry_limits_free (jd_entry_limits_t *limits)
+{
+  if (!limits)
+    return;
+  jd_rate_limiter_free (limits->limiter);
+  g_free (limits);
+}
+
+/* Tells the limiter which other entries may have tokens to give. */
+static void
+apply_peers (jd_entry_limits_t *limits, const jd_fleet_record_t *fleet, int64_t now_us)
+{
+  GArray *peers = g_array_new (FALSE, TRUE, sizeof (jd_token_peer_t));
+  for (uint32_t i = 0; i < fleet->cell_count; i++)
+    {
+      const jd_cell_record_t *cell = &fleet->cells[i];
+      for (uint32_t j = 0; cell->role == JD_ROLE_ENTRY && j < cell->seat_count; j++)
+        {
+          if (strcmp (cell->seats[j].name, limits->seat) == 0)
+            continue;
+          jd_token_peer_t peer = { .same_zone = strcmp (cell->zone, limits->zone) == 0 };
+          g_strlcpy (peer.name, cell->seats[j].name, sizeof (peer.name));
+          g_array_append_val (peers, peer);
+        }
+    }
+  jd_rate_limiter_set_peers (limits->limiter, now_us, (jd_token_peer_t *)peers->data,
+                             peers->len);
+  g_array_free (peers, TRUE);
+}
+
+/* Tells the limiter the rate of one share of each organisation. */
+static void
+apply_organisations (jd_entry_limits_t *limits, int64_t now_us)
+{
+  jd_organisation_record_t *record = jd_config_store_organisations (limits->store);
+  if (!record)
+    return;
+  jd_organisation_rate_t *rates = g_new0 (jd_organisation_rate_t, record->organisation_count);
+  for (uint32_t i = 0; i < record->organisation_count; i++)
+    {
+      const jd_organisation_t *organisation = &record->organisations[i];
+      rates[i].name = organisation->id;
+      rates[i].share = jd_share_rate_of (organisation->rate_per_s, organisation->burst,
+                                         limits->zone_weight, limits->shares_per_zone);
+    }
+  jd_rate_limiter_set_organisations (limits->limiter, now_us, rates,
+                                     record->organisation_count);
+  g_free (rates);
+  jd_organisation_record_unref (record);
+}
+
+/* Takes the fleet and the organisations in force. */
+void
+jd_entry_limits_reload (jd_entry_limits_t *limits)
+{
+  const jd_fleet_record_t *fleet = jd_node_fleet (limits->node);
+  if (!fleet)
+    return;
+  const jd_zone_record_t *zone = jd_fleet_record_zone (fleet, limits->zone);
+  limits->shares_per_zone = fleet->shares_per_zone;
+  limits->zone_weight = zone ? zone->weight : 0;
+  int64_t now_us = jd_node_now_us (limits->node);
+  apply_peers (limits, fleet, now_us);
+  apply_organisations (limits, now_us);
+}
+
+/* Asks for one token. */
+jd_admission_t
+jd_entry_limits_request (jd_entry_limits_t *limits, uint64_t request_id,
+                         const char *organisation, int64_t deadline_us)
+{
+  return jd_rate_limiter_request (limits->limiter, jd_node_now_us (limits->node), request_id,
+                                  organisation, deadline_us);
+}
+
+/* Ends a wait for a token. */
+void
+jd_entry_limits_cancel (jd_entry_limits_t *limits, uint64_t request_id,
+                        const char *organisation)
+{
+  jd_rate_limiter_cancel (limits->limiter, request_id, organisation);
+}
+
+/* Takes token messages. */
+gboolean
+jd_entry_limits_on_message (jd_entry_limits_t *limits, const jd_message_t *message)
+{
+  if (message->type == JD_MESSAGE_TOKEN_ASK)
+    jd_rate_limiter_on_token_ask (limits->limiter, message->sender, &message->token_ask);
+  else if (message->type == JD_MESSAGE_TOKEN_GRANT)
+    jd_rate_limiter_on_token_grant (limits->limiter, message->sender, &message->token_grant);
+  else
+    return FALSE;
+  return TRUE;
+}
+
+/* Counts the owned shares and tells the limiter until when they are owned. */
+static void
+refresh_shares (jd_entry_limits_t *limits, int64_t now_us)
+{
+  uint32_t owned = 0;
+  int64_t valid_until_us = INT64_MAX;
+  for (uint32_t i = 0; i < limits->shares_per_zone && !limits->releasing; i++)
+    {
+      char resource[JD_NAME_SIZE * 2];
+      g_snprintf (resource, sizeof (resource), "share/%s/%u", limits->zone, i);
+      int64_t until_us = jd_node_owned_until_us (limits->node, resource);
+      if (until_us <= now_us)
+        continue;
+      owned++;
+      valid_until_us = MIN (valid_until_us, until_us);
+    }
+  if (owned != limits->owned_shares)
+    jd_log_event (G_LOG_LEVEL_INFO, "shares_owned", "shares=%u of=%u", owned,
+                  limits->shares_per_zone);
+  limits->owned_shares = owned;
+  limits->refreshed_us = now_us;
+  jd_rate_limiter_set_shares (limits->limiter, now_us, owned, owned ? valid_until_us : now_us);
+}
+
+/* Renews the shares when they are due and runs the limiter. */
+void
+jd_entry_limits_tick (jd_entry_limits_t *limits)
+{
+  int64_t now_us = jd_node_now_us (limits->node);
+  if (now_us - limits->refreshed_us >= SHARE_REFRESH_US)
+    refresh_shares (limits, now_us);
+  jd_rate_limiter_tick (limits->limiter, now_us);
+}
+
+/* Returns when the limiter needs its next tick. */
+int64_t
+jd_entry_limits_next_wakeup_us (const jd_entry_limits_t *limits)
+{
+  return jd_rate_limiter_next_wakeup_us (limits->limiter);
+}
+
+/* Gives up all shares. */
+int64_t
+jd_entry_limits_release (jd_entry_limits_t *limits)
+{
+  limits->releasing = TRUE;
+  refresh_shares (limits, jd_node_now_us (limits->node));
+  return jd_rate_limiter_release_at_us (limits->limiter);
+}
+
+/* Returns the number of shares that this entry owns. */
+uint32_t
+jd_entry_limits_owned_shares (const jd_entry_limits_t *limits)
+{
+  return limits->owned_shares;
+}
+
+/* Returns the tokens of an amount in microtokens. */
+static json_t *
+tokens_json (int64_t microtokens)
+{
+  return json_real ((double)microtokens / JD_MICROTOKENS);
+}
+
+/* Appends what operators see of each organisation. */
+void
+jd_entry_limits_status (jd_entry_limits_t *limits, json_t *array)
+{
+  int64_t now_us = jd_node_now_us (limits->node);
+  uint32_t count = jd_rate_limiter_organisation_count (limits->limiter);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      jd_rate_status_t status;
+      if (!jd_rate_limiter_status (limits->limiter, now_us, i, &status))
+        continue;
+      json_t *object = json_object ();
+      json_object_set_new (object, "organisation", json_string (status.organisation));
+      json_object_set_new (object, "tokens", tokens_json (status.held + status.received));
+      json_object_set_new (object, "capacity", tokens_json (status.capacity));
+      json_object_set_new (object, "rate_per_s", tokens_json (status.generation_per_s));
+      json_object_set_new (object, "demand_per_s", tokens_json (status.demand_per_s));
+      json_object_set_new (object, "waiting", json_integer (status.waiting));
+      json_object_set_new (object, "admitted", json_integer ((json_int_t)status.admitted));
+      json_object_set_new (object, "refused", json_integer ((json_int_t)status.refused));
+      json_array_append_new (array, object);
+    }
+}
--- a/src/daemons/node.c
+++ b/src/daemons/node.c
@@ -389,3 +389,19 @@
   int64_t confirmed_us = node->confirmed_us;
   return confirmed_us < 0 ? -1 : jd_node_now_us (node) - confirmed_us;
 }
+
+/* Appends what this seat knows of the seats of its cell. */
+void
+jd_node_status (jd_node_t *node, json_t *array)
+{
+  int64_t now_us = jd_node_now_us (node);
+  for (uint32_t i = 0; node->lease && i < jd_lease_seat_count (node->lease); i++)
+    {
+      json_t *object = json_object ();
+      json_object_set_new (object, "seat",
+                           json_string (jd_lease_seat_name (node->lease, i)));
+      json_object_set_new (object, "dead",
+                           json_boolean (jd_lease_gone_until_us (node->lease, i) > now_us));
+      json_array_append_new (array, object);
+    }
+}
--- a/src/daemons/node.h
+++ b/src/daemons/node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <glib.h>
+#include <jansson.h>
 
 #include "base/clock.h"
 #include "base/counters.h"
@@ -58,6 +59,8 @@
 /* Time until which this seat owns a resource; in the past when it does not. */
 int64_t jd_node_owned_until_us (jd_node_t *node, const char *resource);
 int64_t jd_node_lease_until_us (jd_node_t *node);
+/* Appends one JSON object per seat of the own cell. */
+void jd_node_status (jd_node_t *node, json_t *array);
 /* What the lease tells the other seats about this one. */
 void jd_node_set_state (jd_node_t *node, jd_seat_state_t state);
 /* Age of the last confirmation of the records by the platform, -1 for never; any
