feat(membership): acknowledged lease and resource ownership

Cause: a target or a rate share must have at most one user, without stored state, although processes pause, restart, share a seat and lose messages.

--- /dev/null
+++ b/src/membership/lease_settings.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <stdint.h>
+
+/* Times of the lease exchange in microseconds. docs/decisions/0002-acknowledged-lease.md
+ * derives the relations between them that are needed. */
+typedef struct jd_lease_settings
+{
+  int64_t heartbeat_interval_us;
+  int64_t lease_duration_us;
+  int64_t takeover_margin_us;
+  int64_t work_bound_us;
+  int64_t takeover_threshold_us; /* Silence after which a seat is dead for takeover. */
+  int64_t takeover_wait_us;      /* Time with a held lease before the first use. */
+  int64_t vote_memory_us;        /* How long a member refuses older incarnations. */
+  int64_t vote_silence_us;       /* Uptime before which a member acknowledges nothing. */
+} jd_lease_settings_t;
+
+jd_lease_settings_t jd_lease_settings_default (void);
--- /dev/null
+++ b/src/membership/quorum.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "membership/lease_defs.h"
+
+/* Time of a member that gives no support at all. */
+#define JD_QUORUM_NEVER INT64_MIN
+
+gboolean jd_quorum_is_reached (const gboolean *members, uint32_t count);
+int64_t jd_quorum_until_us (const int64_t *until_us, uint32_t count);
