--- a/src/limits/rate_limiter.c
+++ b/src/limits/rate_limiter.c
@@ -386,6 +386,14 @@
   return last_us;
 }
 
+/* Returns the state of an organisation, NULL when it is unknown. For status and tests;
+ * it lives until the organisation is removed. */
+jd_organisation_limit_t *
+jd_rate_limiter_find (const jd_rate_limiter_t *limiter, const char *organisation)
+{
+  return g_hash_table_lookup (limiter->by_name, organisation);
+}
+
 /* Returns the number of organisations. */
 uint32_t
 jd_rate_limiter_organisation_count (const jd_rate_limiter_t *limiter)
--- a/src/limits/rate_limiter.h
+++ b/src/limits/rate_limiter.h
@@ -57,6 +57,8 @@
 int64_t jd_rate_limiter_next_wakeup_us (const jd_rate_limiter_t *limiter);
 
 int64_t jd_rate_limiter_release_at_us (const jd_rate_limiter_t *limiter);
+jd_organisation_limit_t *jd_rate_limiter_find (const jd_rate_limiter_t *limiter,
+                                               const char *organisation);
 uint32_t jd_rate_limiter_organisation_count (const jd_rate_limiter_t *limiter);
 bool jd_rate_limiter_status (jd_rate_limiter_t *limiter, int64_t now_us, uint32_t index,
                              jd_rate_status_t *status);
--- /dev/null
+++ b/test/support/rate_history.c
@@ -0,0 +1,88 @@
+#include "support/rate_history.h"
+
+#include "base/clock.h"
+#include "limits/token_defs.h"
+
+/* Prepares an empty history. */
+void
+jd_rate_history_init (jd_rate_history_t *history)
+{
+  history->admissions = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  history->bounds = g_array_new (FALSE, FALSE, sizeof (jd_rate_bound_t));
+}
+
+/* Frees the history's memory. */
+void
+jd_rate_history_clear (jd_rate_history_t *history)
+{
+  g_array_unref (history->admissions);
+  g_array_unref (history->bounds);
+}
+
+/* Sets the bound from a time on; times must not decrease. */
+void
+jd_rate_history_bound (jd_rate_history_t *history, jd_rate_bound_t bound)
+{
+  g_array_append_val (history->bounds, bound);
+}
+
+/* Adds one admission; the order does not matter. */
+void
+jd_rate_history_add (jd_rate_history_t *history, int64_t at_us)
+{
+  g_array_append_val (history->admissions, at_us);
+}
+
+/* Compares two times for sorting. */
+static gint
+compare_times (gconstpointer a, gconstpointer b)
+{
+  int64_t left = *(const int64_t *)a;
+  int64_t right = *(const int64_t *)b;
+  return (left > right) - (left < right);
+}
+
+/* Refills the virtual bucket, counted in millionths of a microtoken. */
+static __int128
+refill (__int128 level, const jd_rate_bound_t *bound, int64_t elapsed_us)
+{
+  __int128 full = (__int128)bound->burst * JD_US_PER_S;
+  level += (__int128)bound->rate_per_s * elapsed_us;
+  return level < full ? level : full;
+}
+
+/* Checks every window at once: the admissions of all windows are within rate times
+ * window plus burst exactly when a bucket of that rate and burst, full at the start,
+ * never goes below zero. One pass over sorted admissions. */
+jd_rate_verdict_t
+jd_rate_history_check (jd_rate_history_t *history)
+{
+  g_array_sort (history->admissions, compare_times);
+  jd_rate_verdict_t verdict = { .kept = true };
+  const jd_rate_bound_t *bounds = (const jd_rate_bound_t *)(void *)history->bounds->data;
+  jd_rate_bound_t bound = bounds[0];
+  guint next = 1;
+  __int128 level = (__int128)bound.burst * JD_US_PER_S;
+  int64_t at_us = bound.from_us;
+  for (guint i = 0; i < history->admissions->len; i++)
+    {
+      int64_t admitted_us = g_array_index (history->admissions, int64_t, i);
+      for (; next < history->bounds->len && bounds[next].from_us <= admitted_us; next++)
+        {
+          level = refill (level, &bound, bounds[next].from_us - at_us);
+          at_us = bounds[next].from_us;
+          bound = bounds[next];
+        }
+      level = refill (level, &bound, admitted_us - at_us);
+      at_us = admitted_us;
+      level -= (__int128)JD_MICROTOKENS * JD_US_PER_S;
+      int64_t excess = (int64_t)(-level / JD_US_PER_S);
+      if (level >= 0)
+        continue;
+      if (verdict.kept)
+        verdict.violated_at_us = admitted_us;
+      verdict.kept = false;
+      verdict.worst_excess = MAX (verdict.worst_excess, excess);
+    }
+  return verdict;
+}
--- /dev/null
+++ b/test/support/rate_history.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Admissions of one organisation over all processes, and the rate that bounds them. */
+typedef struct jd_rate_history
+{
+  GArray *admissions; /* int64_t, true time in microseconds. */
+  GArray *bounds;     /* In order of time. */
+} jd_rate_history_t;
+
+typedef struct jd_rate_bound
+{
+  int64_t from_us;
+  int64_t rate_per_s; /* Microtokens. */
+  int64_t burst;      /* Microtokens. */
+} jd_rate_bound_t;
+
+typedef struct jd_rate_verdict
+{
+  bool kept;
+  int64_t violated_at_us; /* First admission over the bound. */
+  int64_t worst_excess;   /* Microtokens. */
+} jd_rate_verdict_t;
+
+void jd_rate_history_init (jd_rate_history_t *history);
+void jd_rate_history_clear (jd_rate_history_t *history);
+void jd_rate_history_bound (jd_rate_history_t *history, jd_rate_bound_t bound);
+void jd_rate_history_add (jd_rate_history_t *history, int64_t at_us);
+jd_rate_verdict_t jd_rate_history_check (jd_rate_history_t *history);
