feat(cli): add jackdawctl

Subcommands validate (offline, with references between records), status, explain, counters, drain, undrain, target-out, target-in, zone-out and zone-in, with JSON lines and documented exit statuses. The change commands make the next version of a record and print it, or put it to a service that accepts records.

Cause: operators check records before they publish them, and take seats, targets and zones out of service at short notice. Ruled out: asking an entry for the record in force: it publishes versions, not texts; the record comes from a file or from the platform instead. Conclusion: a name that is not in the published fleet is refused.

--- /dev/null
+++ b/src/cli/cli_defs.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <glib.h>
+
+/* Exit statuses of jackdawctl; part of its interface. */
+typedef enum cli_exit
+{
+  CLI_EXIT_OK = 0,
+  CLI_EXIT_CHECK_FAILED = 1,  /* A record is not valid, or a name is not in the fleet. */
+  CLI_EXIT_USAGE = 2,         /* Wrong arguments. */
+  CLI_EXIT_UNREACHABLE = 3,   /* No good answer from the entry or the platform. */
+  CLI_EXIT_NOT_PUBLISHED = 4, /* The platform did not accept the record. */
+} cli_exit_t;
+
+/* Flags that a command takes, besides --json and --help. */
+typedef enum cli_flag
+{
+  CLI_FLAG_ENTRY = 1 << 0,
+  CLI_FLAG_SERVICE = 1 << 1,
+  CLI_FLAG_QUERY = 1 << 2,
+  CLI_FLAG_RECORD_SOURCE = 1 << 3, /* --from, --platform, --publish-to */
+} cli_flag_t;
+
+/* The arguments of one call. Texts that were not given are NULL. */
+typedef struct cli_options
+{
+  gboolean json;
+  const char *entry; /* Base URL, never NULL. */
+  const char *service;
+  const char *query;
+  const char *from;
+  const char *platform;
+  const char *publish_to;
+  const char **names; /* Positional arguments. */
+  int name_count;
+} cli_options_t;
+
+typedef struct cli_command cli_command_t;
+
+struct cli_command
+{
+  const char *name;
+  const char *summary;
+  const char *names; /* What the positional arguments are, or NULL for none. */
+  int names_max;
+  unsigned flags; /* cli_flag_t */
+  cli_exit_t (*run) (const cli_command_t *command, const cli_options_t *options);
+};
--- /dev/null
+++ b/src/cli/command_entry.c
@@ -0,0 +1,162 @@
+#include "cli/command_entry.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli/cli_http.h"
+#include "cli/cli_output.h"
+
+/* Reads a path of the entry; returns NULL after printing an error. */
+static char *
+read_entry (const cli_options_t *options, const char *path)
+{
+  char *answer = NULL;
+  long status = cli_http_call ("GET", options->entry, path, NULL, &answer);
+  if (status == 200)
+    return answer;
+  if (status == 0)
+    cli_print_error ("%s: no answer", options->entry);
+  else
+    cli_print_error ("%s%s: HTTP status %ld", options->entry, path, status);
+  g_free (answer);
+  return NULL;
+}
+
+/* Reads a JSON object of the entry; returns NULL after printing an error. */
+static json_t *
+read_entry_json (const cli_options_t *options, const char *path)
+{
+  char *answer = read_entry (options, path);
+  if (!answer)
+    return NULL;
+  json_t *object = json_loads (answer, 0, NULL);
+  if (!json_is_object (object))
+    {
+      cli_print_error ("%s%s: the answer is not a JSON object", options->entry, path);
+      json_decref (object);
+      object = NULL;
+    }
+  g_free (answer);
+  return object;
+}
+
+/* Prints "name=value" pairs of the plain members of an object on one line. */
+static void
+print_members (const char *head, json_t *object)
+{
+  const char *key;
+  json_t *value;
+  printf ("%s", head);
+  json_object_foreach (object, key, value)
+  {
+    if (json_is_array (value) && json_is_integer (json_array_get (value, 0)))
+      {
+        char *list = json_dumps (value, JSON_COMPACT);
+        printf (" %s=%s", key, list);
+        free (list);
+      }
+    else if (json_is_string (value))
+      printf (" %s=%s", key, json_string_value (value));
+    else if (json_is_integer (value))
+      printf (" %s=%" JSON_INTEGER_FORMAT, key, json_integer_value (value));
+    else if (json_is_real (value))
+      printf (" %s=%.3f", key, json_real_value (value));
+    else if (json_is_boolean (value))
+      printf (" %s=%s", key, json_is_true (value) ? "yes" : "no");
+  }
+  printf ("\n");
+}
+
+/* Prints each object of an array on one line. */
+static void
+print_array (json_t *object, const char *key, const char *head)
+{
+  size_t index;
+  json_t *element;
+  json_array_foreach (json_object_get (object, key), index, element)
+  {
+    print_members (head, element);
+    /* Targets of a broker. */
+    print_array (element, "targets", "  target:");
+  }
+}
+
+/* Prints an entry's status: one line for the entry, for all records, and for each
+ * member, organisation, broker and target. */
+cli_exit_t
+cli_command_status (const cli_command_t *command, const cli_options_t *options)
+{
+  json_t *status = read_entry_json (options, "/status");
+  if (!status)
+    return CLI_EXIT_UNREACHABLE;
+  if (options->json)
+    {
+      cli_print_json (status);
+      return CLI_EXIT_OK;
+    }
+  print_members ("entry:", status);
+  print_members ("records:", json_object_get (status, "records"));
+  print_array (status, "members", "member:");
+  print_array (status, "organisations", "organisation:");
+  print_array (status, "brokers", "broker:");
+  json_decref (status);
+  return CLI_EXIT_OK;
+}
+
+/* Prints how the entry would plan a search now. */
+cli_exit_t
+cli_command_explain (const cli_command_t *command, const cli_options_t *options)
+{
+  char *service = g_uri_escape_string (options->service, NULL, FALSE);
+  char *query = g_uri_escape_string (options->query ? options->query : "", NULL, FALSE);
+  char *path = g_strdup_printf ("/explain?service=%s&q=%s", service, query);
+  json_t *plan = read_entry_json (options, path);
+  g_free (path);
+  g_free (query);
+  g_free (service);
+  if (!plan)
+    return CLI_EXIT_UNREACHABLE;
+  if (options->json)
+    {
+      cli_print_json (plan);
+      return CLI_EXIT_OK;
+    }
+  const char *text = json_string_value (json_object_get (plan, "plan"));
+  fputs (text ? text : "no plan\n", stdout);
+  json_decref (plan);
+  return CLI_EXIT_OK;
+}
+
+/* Prints one counter line as JSON. */
+static void
+print_counter_json (const char *line)
+{
+  const char *space = strrchr (line, ' ');
+  if (!space)
+    return;
+  char *name = g_strndup (line, (gsize)(space - line));
+  cli_print_json (json_pack ("{s:s, s:I}", "name", name, "value",
+                             (json_int_t)g_ascii_strtoll (space + 1, NULL, 10)));
+  g_free (name);
+}
+
+/* Prints the entry's counters. */
+cli_exit_t
+cli_command_counters (const cli_command_t *command, const cli_options_t *options)
+{
+  char *text = read_entry (options, "/counters");
+  if (!text)
+    return CLI_EXIT_UNREACHABLE;
+  if (!options->json)
+    fputs (text, stdout);
+  else
+    {
+      char **lines = g_strsplit (text, "\n", -1);
+      for (char **line = lines; *line; line++)
+        print_counter_json (*line);
+      g_strfreev (lines);
+    }
+  g_free (text);
+  return CLI_EXIT_OK;
+}
--- a/src/daemons/entry_daemon.c
+++ b/src/daemons/entry_daemon.c
@@ -74,9 +74,9 @@
 {
   jd_hit_t *copies = g_new0 (jd_hit_t, count);
   for (uint32_t i = 0; i < count; i++)
-    copies[i] = (jd_hit_t){
-      .id = g_strdup (hits[i].id), .score = hits[i].score, .body = g_strdup (hits[i].body)
-    };
+    copies[i] = (jd_hit_t){ .id = g_strdup (hits[i].id),
+                            .score = hits[i].score,
+                            .body = g_strdup (hits[i].body) };
   return copies;
 }
 
@@ -114,9 +114,8 @@
     .user = request,
   };
   g_hash_table_insert (daemon->running, &request->id, jd_caller_request_ref (request));
-  uint64_t query_id
-      = jd_entry_core_submit (jd_entry_routing_core (daemon->routing), &submitted,
-                              jd_clock_now_us (&daemon->clock));
+  uint64_t query_id = jd_entry_core_submit (jd_entry_routing_core (daemon->routing),
+                                            &submitted, jd_clock_now_us (&daemon->clock));
   /* The core may have finished the request already; the caller's reference keeps it. */
   request->query_id = query_id;
 }
@@ -129,8 +128,8 @@
   jd_caller_request_t *request = argument;
   jd_admission_t admission = JD_ADMISSION_ADMITTED;
   if (*request->access.organisation)
-    admission = jd_entry_limits_request (daemon->limits, request->id,
-                                         request->access.organisation, request->deadline_us);
+    admission = jd_entry_limits_request (
+        daemon->limits, request->id, request->access.organisation, request->deadline_us);
   if (admission == JD_ADMISSION_ADMITTED)
     start (daemon, request);
   else if (admission == JD_ADMISSION_REFUSED)
@@ -283,8 +282,9 @@
                        json_boolean (jd_node_lease_until_us (daemon->node) > now_us));
   json_object_set_new (object, "shares",
                        json_integer (jd_entry_limits_owned_shares (daemon->limits)));
-  json_object_set_new (object, "platform_age_ms",
-                       json_integer (jd_node_platform_age_us (daemon->node) / JD_US_PER_MS));
+  json_object_set_new (
+      object, "platform_age_ms",
+      json_integer (jd_node_platform_age_us (daemon->node) / JD_US_PER_MS));
   json_object_set_new (object, "running",
                        json_integer (g_hash_table_size (daemon->running)));
   json_object_set_new (object, "records", records);
@@ -313,8 +313,8 @@
 {
   entry_daemon_t *daemon = context;
   operator_call_t *call = argument;
-  call->text = jd_entry_core_explain (jd_entry_routing_core (daemon->routing), call->service,
-                                      jd_clock_now_us (&daemon->clock));
+  call->text = jd_entry_core_explain (jd_entry_routing_core (daemon->routing),
+                                      call->service, jd_clock_now_us (&daemon->clock));
 }
 
 /* Explain callback of the HTTP side. */
@@ -349,7 +349,8 @@
 static jd_result_code_t
 current_health (entry_daemon_t *daemon)
 {
-  if (!jd_node_is_listed (daemon->node) || !jd_entry_routing_has_targets (daemon->routing))
+  if (!jd_node_is_listed (daemon->node) ||
+      !jd_entry_routing_has_targets (daemon->routing))
     return JD_NO_CONFIGURATION;
   jd_result_code_t code = JD_OK;
   jd_zone_state_record_t *zones = jd_config_store_zones (daemon->store);
@@ -369,9 +370,11 @@
 static void
 enter_phase (entry_daemon_t *daemon, stop_phase_t phase, int64_t until_us, int64_t now_us)
 {
-  static const char *const names[] = { "running", "notice", "refusing", "releasing", "done" };
-  jd_log_event (G_LOG_LEVEL_INFO, "shutdown", "phase=%s running=%u active=%u", names[phase],
-                g_hash_table_size (daemon->running), jd_entry_http_active (daemon->http));
+  static const char *const names[] = { "running", "notice", "refusing", "releasing",
+                                       "done" };
+  jd_log_event (G_LOG_LEVEL_INFO, "shutdown", "phase=%s running=%u active=%u",
+                names[phase], g_hash_table_size (daemon->running),
+                jd_entry_http_active (daemon->http));
   daemon->phase = phase;
   daemon->phase_since_us = now_us;
   daemon->phase_until_us = until_us;
@@ -387,19 +390,21 @@
       if (!daemon->stop.received)
         return;
       jd_entry_http_announce_close (daemon->http);
-      enter_phase (daemon, PHASE_NOTICE, now_us + daemon->options.shutdown_notice_us, now_us);
+      enter_phase (daemon, PHASE_NOTICE, now_us + daemon->options.shutdown_notice_us,
+                   now_us);
       break;
     case PHASE_NOTICE:
       if (now_us < daemon->phase_until_us)
         return;
       jd_entry_http_refuse (daemon->http);
       jd_node_set_state (daemon->node, JD_SEAT_DRAINING);
-      enter_phase (daemon, PHASE_REFUSING, now_us + daemon->options.shutdown_limit_us, now_us);
+      enter_phase (daemon, PHASE_REFUSING, now_us + daemon->options.shutdown_limit_us,
+                   now_us);
       break;
     case PHASE_REFUSING:
-      if (now_us < daemon->phase_until_us
-          && (jd_entry_http_active (daemon->http) > 0
-              || now_us < daemon->phase_since_us + REFUSE_MIN_US))
+      if (now_us < daemon->phase_until_us &&
+          (jd_entry_http_active (daemon->http) > 0 ||
+           now_us < daemon->phase_since_us + REFUSE_MIN_US))
         return;
       enter_phase (daemon, PHASE_RELEASING,
                    jd_entry_limits_release (daemon->limits) + RELEASE_LINGER_US, now_us);
@@ -498,7 +503,8 @@
     .context = daemon,
   };
   daemon->routing = jd_entry_routing_new (&routing);
-  if (jd_stop_signal_init (&daemon->stop, jd_peer_link_event_poll (jd_node_link (daemon->node))))
+  if (jd_stop_signal_init (&daemon->stop,
+                           jd_peer_link_event_poll (jd_node_link (daemon->node))))
     return TRUE;
   g_set_error (error, JD_PEER_LINK_ERROR, JD_PEER_LINK_ERROR_RESOURCES,
                "cannot watch for signals");
@@ -538,7 +544,8 @@
   jd_entry_routing_free (daemon->routing);
   jd_entry_limits_free (daemon->limits);
   if (daemon->node)
-    jd_stop_signal_clear (&daemon->stop, jd_peer_link_event_poll (jd_node_link (daemon->node)));
+    jd_stop_signal_clear (&daemon->stop,
+                          jd_peer_link_event_poll (jd_node_link (daemon->node)));
   jd_node_free (daemon->node);
   g_hash_table_destroy (daemon->waiting);
   g_hash_table_destroy (daemon->running);
--- a/src/daemons/entry_limits.c
+++ b/src/daemons/entry_limits.c
@@ -62,9 +62,10 @@
   limits->decided = decided;
   limits->context = context;
   jd_rate_settings_t settings = jd_rate_settings_default ();
-  jd_rate_actions_t actions = {
-    .send_ask = send_ask, .send_grant = send_grant, .decided = on_decided, .context = limits
-  };
+  jd_rate_actions_t actions = { .send_ask = send_ask,
+                                .send_grant = send_grant,
+                                .decided = on_decided,
+                                .context = limits };
   limits->limiter = jd_rate_limiter_new (&settings, &actions, jd_node_rng (node));
   return limits;
 }
@@ -108,7 +109,8 @@
   jd_organisation_record_t *record = jd_config_store_organisations (limits->store);
   if (!record)
     return;
-  jd_organisation_rate_t *rates = g_new0 (jd_organisation_rate_t, record->organisation_count);
+  jd_organisation_rate_t *rates =
+      g_new0 (jd_organisation_rate_t, record->organisation_count);
   for (uint32_t i = 0; i < record->organisation_count; i++)
     {
       const jd_organisation_t *organisation = &record->organisations[i];
@@ -142,8 +144,8 @@
 jd_entry_limits_request (jd_entry_limits_t *limits, uint64_t request_id,
                          const char *organisation, int64_t deadline_us)
 {
-  return jd_rate_limiter_request (limits->limiter, jd_node_now_us (limits->node), request_id,
-                                  organisation, deadline_us);
+  return jd_rate_limiter_request (limits->limiter, jd_node_now_us (limits->node),
+                                  request_id, organisation, deadline_us);
 }
 
 /* Ends a wait for a token. */
@@ -161,7 +163,8 @@
   if (message->type == JD_MESSAGE_TOKEN_ASK)
     jd_rate_limiter_on_token_ask (limits->limiter, message->sender, &message->token_ask);
   else if (message->type == JD_MESSAGE_TOKEN_GRANT)
-    jd_rate_limiter_on_token_grant (limits->limiter, message->sender, &message->token_grant);
+    jd_rate_limiter_on_token_grant (limits->limiter, message->sender,
+                                    &message->token_grant);
   else
     return FALSE;
   return TRUE;
@@ -188,7 +191,8 @@
                   limits->shares_per_zone);
   limits->owned_shares = owned;
   limits->refreshed_us = now_us;
-  jd_rate_limiter_set_shares (limits->limiter, now_us, owned, owned ? valid_until_us : now_us);
+  jd_rate_limiter_set_shares (limits->limiter, now_us, owned,
+                              owned ? valid_until_us : now_us);
 }
 
 /* Renews the shares when they are due and runs the limiter. */
@@ -249,7 +253,8 @@
       json_object_set_new (object, "rate_per_s", tokens_json (status.generation_per_s));
       json_object_set_new (object, "demand_per_s", tokens_json (status.demand_per_s));
       json_object_set_new (object, "waiting", json_integer (status.waiting));
-      json_object_set_new (object, "admitted", json_integer ((json_int_t)status.admitted));
+      json_object_set_new (object, "admitted",
+                           json_integer ((json_int_t)status.admitted));
       json_object_set_new (object, "refused", json_integer ((json_int_t)status.refused));
       json_array_append_new (array, object);
     }
--- a/src/daemons/entry_limits.h
+++ b/src/daemons/entry_limits.h
@@ -24,7 +24,8 @@
 void jd_entry_limits_cancel (jd_entry_limits_t *limits, uint64_t request_id,
                              const char *organisation);
 /* Takes token messages. Returns FALSE for other ones. */
-gboolean jd_entry_limits_on_message (jd_entry_limits_t *limits, const jd_message_t *message);
+gboolean jd_entry_limits_on_message (jd_entry_limits_t *limits,
+                                     const jd_message_t *message);
 /* Call after each poll of the node. */
 void jd_entry_limits_tick (jd_entry_limits_t *limits);
 int64_t jd_entry_limits_next_wakeup_us (const jd_entry_limits_t *limits);
--- a/src/daemons/entry_main.c
+++ b/src/daemons/entry_main.c
@@ -24,7 +24,9 @@
 };
 
 static jd_setting_t settings[SETTING_COUNT] = {
-  [SEAT] = { .name = "seat", .help = "seat of this process in the fleet", .required = TRUE },
+  [SEAT] = { .name = "seat",
+             .help = "seat of this process in the fleet",
+             .required = TRUE },
   [ZONE] = { .name = "zone", .help = "availability zone of this host", .required = TRUE },
   [PEER_ADDRESS] = { .name = "peer-address",
                      .help = "IP:port on which other processes reach this one",
@@ -95,7 +97,8 @@
 {
   jd_settings_program_t program = {
     .name = "jackdaw-entry",
-    .summary = "takes callers' requests, plans them over the shards and merges the answers",
+    .summary =
+        "takes callers' requests, plans them over the shards and merges the answers",
     .settings = settings,
     .setting_count = SETTING_COUNT,
     .check = check,
--- a/src/daemons/entry_routing.c
+++ b/src/daemons/entry_routing.c
@@ -82,7 +82,8 @@
 
 /* Cancel callback of the core. A cancellation that is lost only costs work. */
 static void
-send_cancel (void *context, const char *broker, const uint64_t *attempt_ids, uint32_t count)
+send_cancel (void *context, const char *broker, const uint64_t *attempt_ids,
+             uint32_t count)
 {
   jd_entry_routing_t *routing = context;
   jd_message_t message = {
@@ -168,7 +169,8 @@
 static void
 set_zone_out (jd_entry_routing_t *routing, const char *zone, gboolean out)
 {
-  jd_log_event (G_LOG_LEVEL_INFO, "zone_state", "zone=%s state=%s", zone, out ? "out" : "in");
+  jd_log_event (G_LOG_LEVEL_INFO, "zone_state", "zone=%s state=%s", zone,
+                out ? "out" : "in");
   jd_entry_core_on_zone_state (routing->core, zone, out,
                                jd_node_now_us (routing->options.node));
 }
@@ -177,7 +179,8 @@
 static void
 set_target_leaving (jd_entry_routing_t *routing, const char *target, gboolean leaving)
 {
-  jd_log_event (G_LOG_LEVEL_INFO, "target_state", "target=%s leaving=%d", target, leaving);
+  jd_log_event (G_LOG_LEVEL_INFO, "target_state", "target=%s leaving=%d", target,
+                leaving);
   jd_entry_core_set_leaving (routing->core, target, leaving);
 }
 
@@ -219,8 +222,8 @@
     reload_hosts (routing);
   if (!g_str_has_prefix (name, "service."))
     return;
-  jd_service_record_t *service
-      = jd_config_store_service (routing->options.store, name + strlen ("service."));
+  jd_service_record_t *service =
+      jd_config_store_service (routing->options.store, name + strlen ("service."));
   if (!service)
     return;
   jd_entry_core_on_service (routing->core, service);
@@ -256,8 +259,8 @@
   g_array_set_size (broker->targets, 0);
   g_array_append_vals (broker->targets, state->targets, state->target_count);
   routing->has_targets |= state->target_count > 0;
-  jd_entry_core_on_target_state (routing->core, seat, state->broker_clock_us, state->targets,
-                                 state->target_count, now_us);
+  jd_entry_core_on_target_state (routing->core, seat, state->broker_clock_us,
+                                 state->targets, state->target_count, now_us);
 }
 
 /* Takes messages of brokers. */
@@ -312,8 +315,9 @@
       broker_t *broker = value;
       if (broker->heard_us == 0 || now_us - broker->heard_us < BROKER_SILENCE_US)
         continue;
-      jd_log_event (G_LOG_LEVEL_WARNING, "broker_lost", "broker=%s silent_ms=%" G_GINT64_FORMAT,
-                    broker->seat, (now_us - broker->heard_us) / JD_US_PER_MS);
+      jd_log_event (G_LOG_LEVEL_WARNING, "broker_lost",
+                    "broker=%s silent_ms=%" G_GINT64_FORMAT, broker->seat,
+                    (now_us - broker->heard_us) / JD_US_PER_MS);
       broker->heard_us = 0;
       g_array_set_size (broker->targets, 0);
       jd_entry_core_on_broker_lost (routing->core, broker->seat, now_us);
@@ -405,8 +409,8 @@
       const broker_t *broker = value;
       json_t *targets = json_array ();
       for (uint32_t i = 0; i < broker->targets->len; i++)
-        json_array_append_new (
-            targets, target_json (&g_array_index (broker->targets, jd_target_status_t, i)));
+        json_array_append_new (targets, target_json (&g_array_index (
+                                            broker->targets, jd_target_status_t, i)));
       json_t *object = json_object ();
       json_object_set_new (object, "broker", json_string (broker->seat));
       json_object_set_new (object, "connected", json_boolean (broker->heard_us != 0));
--- a/src/daemons/loop_inbox.c
+++ b/src/daemons/loop_inbox.c
@@ -78,8 +78,9 @@
 jd_loop_inbox_call (jd_loop_inbox_t *inbox, jd_loop_call_t call, void *context,
                     void *argument)
 {
-  inbox_item_t item
-      = { .call = call, .context = context, .argument = argument, .has_waiter = TRUE };
+  inbox_item_t item = {
+    .call = call, .context = context, .argument = argument, .has_waiter = TRUE
+  };
   if (!push (inbox, &item))
     return FALSE;
   g_mutex_lock (&inbox->lock);
--- a/src/daemons/loop_inbox.h
+++ b/src/daemons/loop_inbox.h
@@ -15,10 +15,10 @@
 /* Has call (context, argument) run by the loop. Returns FALSE, and does not run it, when
  * the inbox is closed. */
 gboolean jd_loop_inbox_post (jd_loop_inbox_t *inbox, jd_loop_call_t call, void *context,
-                         void *argument);
+                             void *argument);
 /* As post, and waits until the call has run. Not from the loop's own thread. */
 gboolean jd_loop_inbox_call (jd_loop_inbox_t *inbox, jd_loop_call_t call, void *context,
-                         void *argument);
+                             void *argument);
 /* Runs all calls that wait; from the loop's thread. */
 void jd_loop_inbox_drain (jd_loop_inbox_t *inbox);
 /* Runs what waits and refuses everything later; for the end of the loop. */
--- a/src/daemons/node.c
+++ b/src/daemons/node.c
@@ -68,8 +68,8 @@
 static const char *
 address_of (const jd_node_t *node, const char *seat)
 {
-  const jd_cell_record_t *cell
-      = node->fleet ? jd_fleet_record_cell_of_seat (node->fleet, seat) : NULL;
+  const jd_cell_record_t *cell =
+      node->fleet ? jd_fleet_record_cell_of_seat (node->fleet, seat) : NULL;
   for (uint32_t i = 0; cell && i < cell->seat_count; i++)
     {
       if (strcmp (cell->seats[i].name, seat) == 0)
@@ -120,7 +120,8 @@
   for (uint32_t i = 0; i < node->fleet->cell_count && count < MAX_CELLS; i++)
     {
       const jd_cell_record_t *cell = &node->fleet->cells[i];
-      if (cell->role == node->options.role && strcmp (cell->zone, node->options.zone) == 0)
+      if (cell->role == node->options.role &&
+          strcmp (cell->zone, node->options.zone) == 0)
         names[count++] = cell->name;
     }
   jd_ownership_set_cells (node->ownership, names, count, jd_node_now_us (node));
@@ -130,12 +131,13 @@
 static const jd_cell_record_t *
 own_cell (const jd_node_t *node)
 {
-  const jd_cell_record_t *cell
-      = jd_fleet_record_cell_of_seat (node->fleet, node->options.seat);
-  if (cell && cell->role == node->options.role
-      && strcmp (cell->zone, node->options.zone) == 0)
+  const jd_cell_record_t *cell =
+      jd_fleet_record_cell_of_seat (node->fleet, node->options.seat);
+  if (cell && cell->role == node->options.role &&
+      strcmp (cell->zone, node->options.zone) == 0)
     return cell;
-  jd_log_event (G_LOG_LEVEL_WARNING, "seat_not_listed", "fleet_version=%" G_GUINT64_FORMAT,
+  jd_log_event (G_LOG_LEVEL_WARNING, "seat_not_listed",
+                "fleet_version=%" G_GUINT64_FORMAT,
                 (guint64)node->fleet->head.record_version);
   return NULL;
 }
@@ -170,8 +172,8 @@
               size_t length)
 {
   GError *error = NULL;
-  jd_adoption_t adoption
-      = jd_config_store_offer (node->options.store, name, text, length, &error);
+  jd_adoption_t adoption =
+      jd_config_store_offer (node->options.store, name, text, length, &error);
   if (adoption == JD_ADOPTION_ADOPTED)
     {
       jd_log_event (G_LOG_LEVEL_INFO, "record_adopted",
@@ -183,9 +185,10 @@
     }
   else if (adoption == JD_ADOPTION_INVALID || adoption == JD_ADOPTION_CONFLICT)
     {
-      char *reason = jd_log_quote (error ? error->message : "same version, other content");
-      jd_log_event (G_LOG_LEVEL_CRITICAL, "record_refused", "record=%s source=%s reason=%s",
-                    name, source, reason);
+      char *reason =
+          jd_log_quote (error ? error->message : "same version, other content");
+      jd_log_event (G_LOG_LEVEL_CRITICAL, "record_refused",
+                    "record=%s source=%s reason=%s", name, source, reason);
       g_free (reason);
     }
   g_clear_error (&error);
@@ -225,9 +228,8 @@
                   const jd_heartbeat_t *heartbeat)
 {
   jd_message_t reply = { .type = JD_MESSAGE_HEARTBEAT_ACK };
-  if (node->lease
-      && jd_lease_on_heartbeat (node->lease, heartbeat, jd_node_now_us (node),
-                                &reply.heartbeat_ack))
+  if (node->lease && jd_lease_on_heartbeat (node->lease, heartbeat, jd_node_now_us (node),
+                                            &reply.heartbeat_ack))
     jd_peer_link_reply (node->link, origin, &reply);
 }
 
@@ -246,7 +248,8 @@
         jd_lease_on_ack (node->lease, &message->heartbeat_ack, jd_node_now_us (node));
       break;
     default:
-      node->options.callbacks.on_message (node->options.callbacks.context, origin, message);
+      node->options.callbacks.on_message (node->options.callbacks.context, origin,
+                                          message);
       break;
     }
 }
@@ -400,8 +403,9 @@
       json_t *object = json_object ();
       json_object_set_new (object, "seat",
                            json_string (jd_lease_seat_name (node->lease, i)));
-      json_object_set_new (object, "dead",
-                           json_boolean (jd_lease_gone_until_us (node->lease, i) > now_us));
+      json_object_set_new (
+          object, "dead",
+          json_boolean (jd_lease_gone_until_us (node->lease, i) > now_us));
       json_array_append_new (array, object);
     }
 }
--- a/src/daemons/platform_feed.c
+++ b/src/daemons/platform_feed.c
@@ -64,8 +64,9 @@
 static void
 on_hosts (void *context, const char *text, size_t length)
 {
-  push (context, (feed_item_t){
-                     .kind = FEED_HOSTS, .text = g_strndup (text, length), .length = length });
+  push (context, (feed_item_t){ .kind = FEED_HOSTS,
+                                .text = g_strndup (text, length),
+                                .length = length });
 }
 
 /* Starts to read and watch the platform. */
--- /dev/null
+++ b/test/process/test_jackdawctl.c
@@ -0,0 +1,114 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "stand_ins/platform_server.h"
+#include "support/http_call.h"
+#include "support/test_main.h"
+
+#define FLEET                                                                            \
+  "{\"schema_version\":1,\"record_version\":1,\"zones\":[{\"name\":\"a\",\"weight\":1}]" \
+  ","                                                                                    \
+  "\"shares_per_zone\":12,\"cells\":[{\"name\":\"c\",\"zone\":\"a\",\"role\":\"entry\"," \
+  "\"seats\":[{\"name\":\"a-entry-0\",\"address\":\"127.0.0.1:7101\"}]}]}"
+
+/* Runs jackdawctl with the arguments of a line; returns its exit status and output. */
+static int
+run (const char *line, char **output)
+{
+  const char *build = getenv ("JACKDAW_BUILD_DIR");
+  char *command = g_strdup_printf ("%s/jackdawctl %s", build ? build : "build", line);
+  int status = -1;
+  gboolean ran = g_spawn_command_line_sync (command, output, NULL, &status, NULL);
+  g_free (command);
+  return ran && WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
+
+/* Writes a record into a new folder, validates it, and returns the exit status. */
+static int
+validate (const char *file, const char *text, char **output)
+{
+  char *folder = g_dir_make_tmp ("jackdawctl-XXXXXX", NULL);
+  char *path = g_build_filename (folder, file, NULL);
+  CU_ASSERT_TRUE (g_file_set_contents (path, text, -1, NULL));
+  char *line = g_strdup_printf ("validate %s", path);
+  int status = run (line, output);
+  g_remove (path);
+  g_rmdir (folder);
+  g_free (line);
+  g_free (path);
+  g_free (folder);
+  return status;
+}
+
+/* Guards against an offline check that accepts what a host would refuse. */
+static void
+validate_tells_good_from_bad (void)
+{
+  char *output = NULL;
+  CU_ASSERT_EQUAL (validate ("fleet.json", FLEET, &output), 0);
+  g_free (output);
+  CU_ASSERT_EQUAL (validate ("zones.json",
+                             "{\"schema_version\":1,\"record_version\":1,"
+                             "\"zones\":[{\"name\":\"a\",\"state\":\"off\"}]}",
+                             &output),
+                   1);
+  CU_ASSERT_PTR_NOT_NULL (strstr (output, "zones[0].state"));
+  g_free (output);
+  CU_ASSERT_EQUAL (run ("validate", NULL), 2);
+  CU_ASSERT_EQUAL (run ("status --entry http://127.0.0.1:1", NULL), 3);
+}
+
+/* Runs a command against a platform. */
+static int
+run_at (const char *command, const char *url, char **output)
+{
+  char *line = g_strdup_printf ("%s --publish-to %s", command, url);
+  int status = run (line, output);
+  g_free (line);
+  return status;
+}
+
+/* Guards against a drain that drops the other drained seats, repeats a version, or
+ * accepts a mistyped seat. */
+static void
+drain_publishes_the_next_version (void)
+{
+  jd_timer_queue_t *timers = jd_timer_queue_new ();
+  jd_platform_options_t options = { .ip = "127.0.0.1",
+                                    .max_reads_per_second = 2000,
+                                    .timers = timers };
+  jd_platform_t *platform = jd_platform_new (&options, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (platform);
+  char *url = g_strdup_printf ("http://127.0.0.1:%u", jd_platform_port (platform));
+  char *path = g_strconcat (url, "/v1/records/fleet", NULL);
+  jd_http_reply_t reply = jd_http_call ("PUT", path, NULL, FLEET, 3000);
+  jd_http_reply_clear (&reply);
+  CU_ASSERT_EQUAL (run_at ("target-out t7", url, NULL), 0);
+  CU_ASSERT_EQUAL (run_at ("drain a-entry-0", url, NULL), 0);
+  CU_ASSERT_EQUAL (run_at ("drain a-entry-9", url, NULL), 1);
+  CU_ASSERT_EQUAL (run_at ("zone-out b", url, NULL), 1);
+  reply = jd_http_get ("%s/v1/records/hosts", url);
+  CU_ASSERT_STRING_EQUAL (
+      reply.body, "{\"schema_version\":1,\"record_version\":2,\"targets\":[{\"id\":"
+                  "\"t7\",\"state\":\"leaving\"}],\"seats\":[{\"name\":\"a-entry-0\","
+                  "\"state\":\"draining\"}]}");
+  jd_http_reply_clear (&reply);
+  jd_platform_stop (platform);
+  jd_timer_queue_free (timers);
+  jd_platform_free (platform);
+  g_free (path);
+  g_free (url);
+}
+
+int
+main (void)
+{
+  const jd_test_case_t cases[] = {
+    { "validate tells good from bad", validate_tells_good_from_bad },
+    { "drain publishes the next version", drain_publishes_the_next_version },
+  };
+  return JD_TEST_RUN ("jackdawctl", cases);
+}
