--- a/test/unit/test_target_stand_in.c
+++ b/test/unit/test_target_stand_in.c
@@ -1,5 +1,6 @@
 #include "stand_ins/target_server.h"
 
+#include <curl/curl.h>
 #include <string.h>
 
 #include "stand_ins/target_documents.h"
@@ -212,6 +213,49 @@
   fixture_stop (&fixture);
 }
 
+/* curl callback: drops a body. */
+static size_t
+drop (char *bytes, size_t size, size_t count, void *context)
+{
+  return size * count;
+}
+
+/* Searches on a kept connection; returns TRUE when an answer came within 300 ms. */
+static gboolean
+search_kept (const fixture_t *fixture, CURL *easy)
+{
+  char *url = g_strconcat (fixture->url, "/search?shard=s&q=a", NULL);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, 300L);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, drop);
+  gboolean answered = curl_easy_perform (easy) == CURLE_OK;
+  g_free (url);
+  return answered;
+}
+
+/* Guards against connections that the limit or the silence fault does not reach: only
+ * those that are open fall silent, new ones work. */
+static void
+connections_are_limited_and_fall_silent (void)
+{
+  fixture_t fixture = fixture_start ("{\"connections\":1}");
+  CURL *kept = curl_easy_init ();
+  CU_ASSERT_TRUE (search_kept (&fixture, kept));
+  CU_ASSERT_EQUAL (call_status (&fixture, "/health", NULL, NULL), 0);
+  CU_ASSERT_TRUE (search_kept (&fixture, kept));
+  CU_ASSERT_EQUAL (count_of (&fixture, "connection_setups"), 1);
+  call_status (&fixture, "/faults", NULL,
+               "{\"connections\":25,\"silent_connections\":true}");
+  CU_ASSERT_FALSE (search_kept (&fixture, kept));
+  CU_ASSERT_EQUAL (call_status (&fixture, "/health", NULL, NULL), 200);
+  CU_ASSERT_TRUE (search_kept (&fixture, kept));
+  CU_ASSERT_EQUAL (count_of (&fixture, "silent"), 1);
+  curl_easy_cleanup (kept);
+  fixture_stop (&fixture);
+}
+
 int
 main (void)
 {
@@ -221,6 +265,8 @@
     { "cold start fails under load", cold_start_fails_under_load },
     { "edits run once or not at all", edits_run_once_or_not_at_all },
     { "faults take effect", faults_take_effect },
+    { "connections are limited and fall silent",
+      connections_are_limited_and_fall_silent },
   };
   return JD_TEST_RUN ("target_stand_in", cases);
 }
