fix(cli): keep argument tables reachable until the process ends

Cause: the options point into the argtable entries, whose table was a local variable; LeakSanitizer reported 896 bytes and made every sanitized jackdawctl call fail. Ruled out: freeing the table before the command runs; names would dangle. Measured: test_jackdawctl under ASan: 7 of 13 assertions before, 13 of 13 after. Conclusion: the table is static, as a process parses one command line.

--- a/src/cli/cli_options.c
+++ b/src/cli/cli_options.c
@@ -68,7 +68,8 @@
 cli_options_parse (const cli_command_t *command, int argc, char **argv,
                    cli_options_t *options)
 {
-  void *table[ARG_TOTAL] = { 0 };
+  /* Kept until the process ends, because the options point into it. */
+  static void *table[ARG_TOTAL];
   int count = 0;
   gboolean source = (command->flags & CLI_FLAG_RECORD_SOURCE) != 0;
   struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
--- a/src/daemons/entry_main.c
+++ b/src/daemons/entry_main.c
@@ -92,6 +92,7 @@
   return FALSE;
 }
 
+/* Checks the settings and runs the entry. */
 int
 main (int argc, char **argv)
 {
