feat(limits): even out tokens between entries, bench the rate schemes

Conclusion: asks carry the asker's holding and grants what is left, so views are exact when a message passes; a difference of an eighth of the mean capacity is evened out.

--- /dev/null
+++ b/bench/bench_rate.c
@@ -0,0 +1,172 @@
+#include <stdio.h>
+
+#include "base/clock.h"
+#include "rate/schemes.h"
+#include "support/rate_history.h"
+
+#include "limits/token_defs.h"
+
+#define SEEDS 3
+#define FROM_US (8 * JD_US_PER_S) /* The buckets are full by then. */
+#define LOSS_US (20 * JD_US_PER_S)
+#define UNTIL_US (35 * JD_US_PER_S)
+
+/* A token message: about 45 bytes of msgpack, 15 of ZeroMQ framing, 40 of TCP and IP. */
+#define MESSAGE_BYTES 100
+
+typedef struct row
+{
+  uint64_t requests;
+  uint64_t refused;
+  uint64_t of_requests[BENCH_ORGANISATIONS];
+  uint64_t of_refused[BENCH_ORGANISATIONS];
+  int64_t excess; /* Microtokens. */
+  uint64_t messages;
+  double flood_served; /* Sum over seeds. */
+} row_t;
+
+/* Adds one run's requests of a window. Organisation 0 counts only when it does not
+ * flood. */
+static void
+count_requests (row_t *row, const bench_run_t *run, const GArray *arrivals,
+                const bench_traffic_t *traffic, int64_t from_us, int64_t until_us)
+{
+  for (guint i = 0; i < arrivals->len; i++)
+    {
+      const bench_arrival_t *arrival = &g_array_index (arrivals, bench_arrival_t, i);
+      if (arrival->at_us < from_us || arrival->at_us >= until_us ||
+          run->results[i] == BENCH_UNDECIDED)
+        continue;
+      if (arrival->organisation == 0 && traffic->flooding > 0)
+        continue;
+      bool refused = run->results[i] == BENCH_REFUSED;
+      row->requests++;
+      row->refused += refused;
+      row->of_requests[arrival->organisation]++;
+      row->of_refused[arrival->organisation] += refused;
+    }
+}
+
+/* Adds what one run admitted beyond rate times window plus burst, and how much of its
+ * rate a flooding organisation got. */
+static void
+count_excess (row_t *row, const bench_run_t *run, const GArray *arrivals,
+              const bench_site_t *site)
+{
+  for (int organisation = 0; organisation < BENCH_ORGANISATIONS; organisation++)
+    {
+      double rate = site->rates[organisation];
+      jd_rate_history_t history;
+      jd_rate_history_init (&history);
+      jd_rate_history_bound (
+          &history,
+          (jd_rate_bound_t){ 0, (int64_t)(rate * JD_MICROTOKENS),
+                             (int64_t)(rate * site->burst_s * JD_MICROTOKENS) });
+      for (guint i = 0; i < arrivals->len; i++)
+        if (g_array_index (arrivals, bench_arrival_t, i).organisation == organisation &&
+            run->results[i] == BENCH_ADMITTED)
+          jd_rate_history_add (&history, run->decided_at_us[i]);
+      double allowed = rate * ((UNTIL_US - FROM_US) / 1e6 + site->burst_s);
+      if (organisation == 0)
+        row->flood_served += history.admissions->len / allowed / SEEDS;
+      row->excess = MAX (row->excess, jd_rate_history_check (&history).worst_excess);
+      jd_rate_history_clear (&history);
+    }
+}
+
+/* Runs one scheme with all seeds and prints one line. */
+static void
+print_row (const bench_site_t *site, bench_traffic_t traffic, bench_scheme_t scheme,
+           const char *title)
+{
+  row_t row = { 0 };
+  for (traffic.seed = 1; traffic.seed <= SEEDS; traffic.seed++)
+    {
+      GArray *arrivals = bench_arrivals_new (site, &traffic);
+      bench_run_t run = bench_run_scheme (scheme, site, &traffic, arrivals);
+      bool loss = traffic.loss_at_us < UNTIL_US;
+      count_requests (&row, &run, arrivals, &traffic, loss ? LOSS_US : FROM_US,
+                      loss ? LOSS_US + JD_US_PER_S : UNTIL_US);
+      count_excess (&row, &run, arrivals, site);
+      row.messages += run.messages;
+      bench_run_clear (&run);
+      g_array_unref (arrivals);
+    }
+  double worst = 0;
+  for (int i = 0; i < BENCH_ORGANISATIONS; i++)
+    if (row.of_requests[i])
+      worst = MAX (worst, (double)row.of_refused[i] / (double)row.of_requests[i]);
+  double messages =
+      (double)row.messages / SEEDS / BENCH_ENTRIES / ((UNTIL_US - FROM_US) / 1e6);
+  printf ("%-10s %5.2f %-11s %3.0f%% %-6s %-6s %-7s %8.3f%% %8.3f%% %8.1f %7.1f %7.0f",
+          site->name, site->burst_s, title, traffic.load * 100,
+          traffic.bursty ? "bursty" : "steady", traffic.skewed ? "skewed" : "even",
+          bench_scheme_name (scheme), 100.0 * (double)row.refused / (double)row.requests,
+          100 * worst, (double)row.excess / 1e6, messages, messages * MESSAGE_BYTES);
+  if (traffic.flooding > 0)
+    printf ("  flooder got %.1f%%", 100 * row.flood_served);
+  printf ("\n");
+}
+
+/* Prints all schemes for one kind of traffic. */
+static void
+print_rows (const bench_site_t *site, bench_traffic_t traffic, const char *title,
+            bench_scheme_t first)
+{
+  for (bench_scheme_t scheme = first; scheme < BENCH_SCHEMES; scheme++)
+    print_row (site, traffic, scheme, title);
+}
+
+/* Prints the table of one site; `first` limits it to the chosen scheme. */
+static void
+print_site (const bench_site_t *site, bench_scheme_t first)
+{
+  const double loads[] = { 0.5, 0.8, 0.95 };
+  for (int kind = 0; kind < 4; kind++)
+    {
+      bench_traffic_t traffic = { .bursty = kind / 2,
+                                  .skewed = kind % 2,
+                                  .from_us = FROM_US,
+                                  .until_us = UNTIL_US,
+                                  .loss_at_us = INT64_MAX };
+      for (unsigned i = 0; i < G_N_ELEMENTS (loads); i++)
+        {
+          traffic.load = loads[i];
+          print_rows (site, traffic, "no failure", first);
+        }
+      traffic.loss_at_us = LOSS_US;
+      for (unsigned i = 0; i < G_N_ELEMENTS (loads); i++)
+        {
+          traffic.load = loads[i];
+          print_rows (site, traffic, "host lost", first);
+        }
+      traffic.loss_at_us = INT64_MAX;
+      traffic.load = 0.8;
+      traffic.flooding = 5;
+      print_rows (site, traffic, "one floods", first);
+    }
+}
+
+/* Prints the table. With the argument `chosen` only the chosen scheme runs. */
+int
+main (int argc, char **argv)
+{
+  bench_scheme_t first =
+      argc > 1 && g_str_equal (argv[1], "chosen") ? BENCH_CHOSEN : BENCH_STATIC;
+  const bench_site_t sites[] = {
+    { "signfold", 500, { 400, 300, 40, 40, 40, 40, 20, 20 }, 2.0 },
+    { "signfold", 500, { 400, 300, 40, 40, 40, 40, 20, 20 }, 0.5 },
+    { "lamplight", 1000, { 300, 200, 30, 30, 30, 30, 20, 20 }, 2.0 },
+    { "lamplight", 1000, { 300, 200, 30, 30, 30, 30, 20, 20 }, 0.5 },
+  };
+  printf (
+      "seeds 1 to %d; burst in seconds of the rate; refused: requests within the rate; "
+      "host lost: in the second after\n",
+      SEEDS);
+  printf ("%-10s %5s %-11s %4s %-6s %-6s %-7s %9s %9s %8s %7s %7s\n", "site", "burst",
+          "case", "load", "demand", "entry", "scheme", "refused", "worst", "excess",
+          "msg/s", "bytes/s");
+  for (unsigned i = 0; i < G_N_ELEMENTS (sites); i++)
+    print_site (&sites[i], first);
+  return 0;
+}
--- /dev/null
+++ b/bench/rate/schemes.c
@@ -0,0 +1,109 @@
+#include "rate/schemes.h"
+
+#include "base/clock.h"
+#include "support/rate_fleet.h"
+
+/* Returns the heading of a scheme. */
+const char *
+bench_scheme_name (bench_scheme_t scheme)
+{
+  static const char *const names[BENCH_SCHEMES] = { "static", "full", "owner", "chosen" };
+  return names[scheme];
+}
+
+/* Runs every entry's own bucket of a part of the rate and burst; no messages. */
+void
+bench_run_buckets (bench_run_t *run, const bench_site_t *site, const GArray *arrivals,
+                   double part)
+{
+  double levels[BENCH_ENTRIES][BENCH_ORGANISATIONS];
+  int64_t refilled_us[BENCH_ENTRIES][BENCH_ORGANISATIONS] = { 0 };
+  for (int entry = 0; entry < BENCH_ENTRIES; entry++)
+    for (int i = 0; i < BENCH_ORGANISATIONS; i++)
+      levels[entry][i] = site->rates[i] * site->burst_s * part;
+  for (guint i = 0; i < arrivals->len; i++)
+    {
+      const bench_arrival_t *arrival = &g_array_index (arrivals, bench_arrival_t, i);
+      double *level = &levels[arrival->entry][arrival->organisation];
+      int64_t *at_us = &refilled_us[arrival->entry][arrival->organisation];
+      double rate = site->rates[arrival->organisation] * part;
+      *level = MIN (*level + rate * (double)(arrival->at_us - *at_us) / 1e6,
+                    rate * site->burst_s);
+      *at_us = arrival->at_us;
+      run->results[i] = *level >= 1 ? BENCH_ADMITTED : BENCH_REFUSED;
+      run->decided_at_us[i] = arrival->at_us;
+      *level -= *level >= 1;
+    }
+}
+
+/* Callback of the fleet. */
+static void
+note_decision (void *context, uint64_t request_id, bool admitted, int64_t at_us)
+{
+  bench_run_t *run = context;
+  run->results[request_id - 1] = admitted ? BENCH_ADMITTED : BENCH_REFUSED;
+  run->decided_at_us[request_id - 1] = at_us;
+}
+
+/* Runs the rate limiter of src/limits. */
+void
+bench_run_chosen (bench_run_t *run, const bench_site_t *site,
+                  const bench_traffic_t *traffic, const GArray *arrivals)
+{
+  jd_rate_fleet_options_t options = {
+    .seed = traffic->seed,
+    .zones = BENCH_ENTRIES / BENCH_ENTRIES_PER_ZONE,
+    .seats_per_zone = BENCH_ENTRIES_PER_ZONE,
+    .organisation_count = BENCH_ORGANISATIONS,
+    .settings = jd_rate_settings_default (),
+    .one_way_us = site->one_way_us,
+    .takeover_gap_us = 1400000,
+    .drift_ppm = 300,
+    .decided = note_decision,
+    .context = run,
+  };
+  for (int i = 0; i < BENCH_ORGANISATIONS; i++)
+    options.organisations[i] =
+        (jd_fleet_organisation_t){ site->rates[i], site->rates[i] * site->burst_s };
+  jd_rate_fleet_t *fleet = jd_rate_fleet_new (&options);
+  for (guint i = 0; i < arrivals->len; i++)
+    {
+      const bench_arrival_t *arrival = &g_array_index (arrivals, bench_arrival_t, i);
+      jd_rate_fleet_request (fleet, arrival->at_us, arrival->entry, arrival->organisation,
+                             i + 1);
+    }
+  if (traffic->loss_at_us < traffic->until_us)
+    {
+      jd_rate_fleet_run (fleet, traffic->loss_at_us);
+      jd_rate_fleet_lose_host (fleet, 0);
+    }
+  jd_rate_fleet_run (fleet, traffic->until_us + JD_US_PER_S);
+  run->messages = jd_rate_fleet_messages (fleet);
+  jd_rate_fleet_free (fleet);
+}
+
+/* Runs one scheme over all arrivals. */
+bench_run_t
+bench_run_scheme (bench_scheme_t scheme, const bench_site_t *site,
+                  const bench_traffic_t *traffic, const GArray *arrivals)
+{
+  bench_run_t run = { .results = g_new0 (uint8_t, arrivals->len + 1),
+                      .decided_at_us = g_new0 (int64_t, arrivals->len + 1) };
+  if (scheme == BENCH_STATIC)
+    bench_run_buckets (&run, site, arrivals, 1.0 / BENCH_ENTRIES);
+  else if (scheme == BENCH_FULL)
+    bench_run_buckets (&run, site, arrivals, 1);
+  else if (scheme == BENCH_ONE_OWNER)
+    bench_run_one_owner (&run, site, traffic, arrivals);
+  else
+    bench_run_chosen (&run, site, traffic, arrivals);
+  return run;
+}
+
+/* Frees the results. */
+void
+bench_run_clear (bench_run_t *run)
+{
+  g_free (run->results);
+  g_free (run->decided_at_us);
+}
--- a/src/limits/organisation_limit.c
+++ b/src/limits/organisation_limit.c
@@ -19,7 +19,7 @@
   jd_organisation_limit_t *organisation = g_new0 (jd_organisation_limit_t, 1);
   g_strlcpy (organisation->name, name, sizeof (organisation->name));
   organisation->settings = settings;
-  organisation->prefetched_at_us = now_us;
+  organisation->evened_out_at_us = now_us;
   jd_rate_share_init (&organisation->share, now_us, rate);
   jd_token_exchange_init (&organisation->exchange, settings, now_us);
   jd_admission_queue_init (&organisation->queue, settings->queue_limit);
@@ -86,55 +86,71 @@
   return true;
 }
 
-/* Returns how many tokens should be kept ahead of requests: the full capacity when
- * local demand exceeds local generation, so that idle peers do not stand at their
- * capacity, where they stop generating; none otherwise. */
+/* Returns the demand of a period in microtokens. */
 static int64_t
-reserve_target (const jd_organisation_limit_t *organisation, int64_t now_us)
+demand_of (const jd_organisation_limit_t *organisation, int64_t now_us, int64_t period_us)
 {
-  const jd_rate_settings_t *settings = organisation->settings;
   int64_t demand = jd_demand_estimate_per_s (&organisation->demand, now_us,
-                                             settings->demand_window_us);
-  if (demand <= jd_rate_share_generation (&organisation->share))
-    return 0;
-  int64_t ahead = (int64_t)((__int128)demand * settings->reserve_window_us / JD_US_PER_S);
-  return MAX (jd_rate_share_capacity (&organisation->share), ahead);
+                                             organisation->settings->demand_window_us);
+  return (int64_t)((__int128)demand * period_us / JD_US_PER_S);
 }
 
-/* Returns how many tokens to ask peers for now, 0 for none. */
+/* Returns what is available and what was asked for. */
+static int64_t
+coming (const jd_organisation_limit_t *organisation)
+{
+  return jd_rate_share_available (&organisation->share) +
+         organisation->exchange.pending_microtokens;
+}
+
+/* Returns how many tokens to ask peers for because requests wait, 0 for none. Demand
+ * beyond local generation is asked for some time ahead, which saves messages. */
 int64_t
-jd_organisation_limit_wanted (jd_organisation_limit_t *organisation, int64_t now_us)
+jd_organisation_limit_wanted (const jd_organisation_limit_t *organisation, int64_t now_us)
 {
-  int64_t coming = jd_rate_share_available (&organisation->share) +
-                   organisation->exchange.pending_microtokens;
-  int64_t waiting = organisation->queue.count * JD_MICROTOKENS;
-  int64_t target = reserve_target (organisation, now_us);
-  if (waiting > coming)
-    return waiting - coming + target;
-  int64_t missing = target + waiting - coming;
-  int64_t interval_us = organisation->settings->prefetch_interval_us;
-  if (missing < MAX (JD_MICROTOKENS, target / 4) ||
-      now_us - organisation->prefetched_at_us < interval_us)
+  int64_t missing = organisation->queue.count * JD_MICROTOKENS - coming (organisation);
+  if (organisation->queue.count == 0 || missing <= 0)
     return 0;
-  organisation->prefetched_at_us = now_us;
-  return missing;
+  int64_t period_us = organisation->settings->reserve_window_us;
+  int64_t own = (int64_t)((__int128)jd_rate_share_generation (&organisation->share) *
+                          period_us / JD_US_PER_S);
+  int64_t ahead = demand_of (organisation, now_us, period_us) - own;
+  return missing + MAX (ahead, 0);
+}
+
+/* Tells whether to compare holdings with peers now, and fills in the own one. */
+bool
+jd_organisation_limit_may_even_out (jd_organisation_limit_t *organisation, int64_t now_us,
+                                    int64_t *held)
+{
+  int64_t interval_us = organisation->settings->even_out_interval_us;
+  if (organisation->queue.count > 0 ||
+      now_us - organisation->evened_out_at_us < interval_us)
+    return false;
+  *held = MAX (coming (organisation), 1);
+  organisation->evened_out_at_us = now_us;
+  return true;
 }
 
-/* Takes tokens for a peer. Local waiting requests go first. */
+/* Takes tokens for a peer. Local waiting requests go first. A peer without waiting
+ * requests gets as much as evens out both at most. */
 int64_t
 jd_organisation_limit_grant (jd_organisation_limit_t *organisation, int64_t now_us,
-                             int64_t asked)
+                             int32_t peer, const jd_token_ask_t *ask)
 {
-  const jd_rate_settings_t *settings = organisation->settings;
   jd_rate_share_advance (&organisation->share, now_us);
   if (organisation->queue.count > 0)
     return 0;
-  int64_t demand = jd_demand_estimate_per_s (&organisation->demand, now_us,
-                                             settings->demand_window_us);
-  int64_t kept = (int64_t)((__int128)demand * KEPT_DEMAND_US / JD_US_PER_S);
-  int64_t spare = organisation->share.held - kept;
-  int64_t given = jd_rate_share_grant (&organisation->share, MIN (asked, spare),
-                                       settings->transfer_lifetime_us);
+  int64_t held = organisation->share.held;
+  int64_t capacity = jd_rate_share_capacity (&organisation->share);
+  int64_t its_capacity =
+      peer >= 0 ? organisation->exchange.views[peer].capacity : capacity;
+  int64_t spare = held - demand_of (organisation, now_us, KEPT_DEMAND_US);
+  if (ask->held_microtokens > 0)
+    spare = jd_token_even_amount (held, capacity, ask->held_microtokens, its_capacity);
+  int64_t given =
+      jd_rate_share_grant (&organisation->share, MIN (ask->amount_microtokens, spare),
+                           organisation->settings->transfer_lifetime_us);
   organisation->grants_sent += given > 0;
   return given;
 }
--- a/src/limits/rate_limiter.c
+++ b/src/limits/rate_limiter.c
@@ -80,19 +80,6 @@
   g_free (limiter);
 }
 
-/* Computes what peers are assumed to own: an equal part of the zone's shares. */
-static void
-set_typical (jd_rate_limiter_t *limiter, jd_organisation_limit_t *organisation)
-{
-  int64_t entries = 1;
-  for (uint32_t i = 0; i < limiter->peers.count; i++)
-    entries += limiter->peers.items[i].same_zone;
-  int64_t shares = limiter->settings.shares_per_zone;
-  const jd_share_rate_t *rate = &organisation->share.current;
-  organisation->exchange.typical_capacity = rate->burst * shares / entries;
-  organisation->exchange.typical_generation = rate->rate_per_s * shares / entries;
-}
-
 /* Adds an organisation that was not published before. */
 static jd_organisation_limit_t *
 add_organisation (jd_rate_limiter_t *limiter, const jd_organisation_rate_t *rate)
@@ -136,7 +123,7 @@
       else
         known = add_organisation (limiter, &rates[i]);
       known->published = true;
-      set_typical (limiter, known);
+      jd_token_exchange_set_rate (&known->exchange, &limiter->peers, rates[i].share);
     }
   for (uint32_t i = limiter->organisations->len; i > 0; i--)
     {
@@ -165,13 +152,14 @@
       jd_organisation_limit_t *organisation = organisation_at (limiter, i);
       jd_token_exchange_set_peers (&organisation->exchange, &before, &limiter->peers,
                                    now_us);
-      set_typical (limiter, organisation);
+      jd_token_exchange_set_rate (&organisation->exchange, &limiter->peers,
+                                  organisation->share.wanted);
     }
   g_free (before.items);
 }
 
-/* Tells how many shares of its zone this process owns from now on and until when its
- * lease is valid without further notice. Called again at each change and renewal. */
+/* Tells how many shares of its zone this process owns from now on and until when
+ * its lease is valid without further notice. Called again at each change and renewal. */
 void
 jd_rate_limiter_set_shares (jd_rate_limiter_t *limiter, int64_t now_us,
                             uint32_t owned_shares, int64_t valid_until_us)
@@ -198,29 +186,47 @@
   return asking;
 }
 
-/* Sends asks for the tokens that one organisation is short of. */
+/* Sends one ask. */
+static void
+ask_peer (jd_rate_limiter_t *limiter, jd_organisation_limit_t *organisation,
+          uint32_t peer, int64_t amount, int64_t held)
+{
+  jd_token_ask_t ask =
+      jd_token_exchange_open (&organisation->exchange, peer, amount, held,
+                              jd_rng_next (&limiter->rng), limiter->now_us);
+  g_strlcpy (ask.organisation, organisation->name, sizeof (ask.organisation));
+  limiter->actions.send_ask (limiter->actions.context, limiter->peers.items[peer].name,
+                             &ask);
+}
+
+/* Sends asks for the tokens that one organisation is short of, or to even out. */
 static void
 ask_peers (jd_rate_limiter_t *limiter, jd_organisation_limit_t *organisation)
 {
   int64_t now_us = limiter->now_us;
+  int64_t amount = 0;
+  int64_t held = 0;
   jd_token_exchange_t *exchange = &organisation->exchange;
   jd_token_exchange_expire (exchange, now_us);
   int64_t wanted = jd_organisation_limit_wanted (organisation, now_us);
-  if (wanted <= 0)
+  bool even_out = jd_organisation_limit_may_even_out (organisation, now_us, &held);
+  if (wanted <= 0 && !even_out)
     return;
   jd_token_exchange_refill_budget (exchange, now_us, count_asking (limiter));
+  if (even_out)
+    {
+      int32_t peer = jd_token_exchange_choose_richer (
+          exchange, now_us, held, jd_rate_share_capacity (&organisation->share), &amount);
+      if (peer >= 0)
+        ask_peer (limiter, organisation, (uint32_t)peer, amount, held);
+    }
   while (wanted > 0)
     {
-      int64_t amount = 0;
       int32_t peer =
           jd_token_exchange_choose (exchange, &limiter->peers, now_us, wanted, &amount);
       if (peer < 0)
         return;
-      jd_token_ask_t ask = jd_token_exchange_open (exchange, (uint32_t)peer, amount,
-                                                   jd_rng_next (&limiter->rng), now_us);
-      g_strlcpy (ask.organisation, organisation->name, sizeof (ask.organisation));
-      limiter->actions.send_ask (limiter->actions.context,
-                                 limiter->peers.items[peer].name, &ask);
+      ask_peer (limiter, organisation, (uint32_t)peer, amount, 0);
       wanted -= amount;
     }
 }
@@ -293,12 +299,16 @@
       g_hash_table_lookup (limiter->by_name, ask->organisation);
   if (!known || ask->amount_microtokens <= 0)
     return;
-  jd_token_grant_t grant = {
-    .nonce = ask->nonce,
-    .amount_microtokens =
-        jd_organisation_limit_grant (known, limiter->now_us, ask->amount_microtokens),
-    .echoed_asked_at_us = ask->asked_at_us,
-  };
+  jd_token_grant_t grant = { .nonce = ask->nonce,
+                             .echoed_asked_at_us = ask->asked_at_us };
+  int32_t peer = jd_token_peers_find (&limiter->peers, from);
+  grant.amount_microtokens =
+      jd_organisation_limit_grant (known, limiter->now_us, peer, ask);
+  grant.left_microtokens = known->share.held;
+  if (ask->held_microtokens > 0)
+    jd_token_exchange_note_level (
+        &known->exchange, jd_token_peers_find (&limiter->peers, from),
+        ask->held_microtokens + grant.amount_microtokens, limiter->now_us);
   g_strlcpy (grant.organisation, known->name, sizeof (grant.organisation));
   limiter->actions.send_grant (limiter->actions.context, from, &grant);
 }
--- a/src/limits/rate_limiter.h
+++ b/src/limits/rate_limiter.h
@@ -28,7 +28,7 @@
 typedef struct jd_organisation_rate
 {
   const char *name;
-  jd_share_rate_t share; /* Of one share; see jd_share_rate_of. */
+  jd_share_rate_t share; /* In the zone of this process; see jd_share_rate_of. */
 } jd_organisation_rate_t;
 
 jd_rate_limiter_t *jd_rate_limiter_new (const jd_rate_settings_t *settings,
--- a/src/limits/rate_settings.c
+++ b/src/limits/rate_settings.c
@@ -1,5 +1,7 @@
 #include "limits/rate_settings.h"
 
+#include <stddef.h>
+
 /* Returns the settings for today's sizes: round trips of 1 ms to 2 ms between zones,
  * configuration in force everywhere within 4 s. */
 jd_rate_settings_t
@@ -7,17 +9,39 @@
 {
   return (jd_rate_settings_t){
     .admission_wait_us = 20000,
-    .transfer_lifetime_us = 100000,
+    .transfer_lifetime_us = 40000,
     .ask_timeout_us = 5000,
     .retry_min_us = 10000,
     .retry_max_us = 640000,
     .demand_window_us = 500000,
-    .reserve_window_us = 50000,
-    .prefetch_interval_us = 50000,
+    .reserve_window_us = 30000,
+    .even_out_interval_us = 20000,
     .raise_delay_us = 5000000,
-    .asks_per_s = 60,
-    .ask_burst = 32,
-    .queue_limit = 256,
+    .asks_per_s = 120,
+    .ask_burst = 48,
+    .even_out_divisor = 4,
     .shares_per_zone = 12,
+    .queue_limit = 256,
   };
 }
+
+/* Returns why settings would break the rate bound or make the limiter useless, NULL when
+ * they do not. work_bound_us is that of the lease: a successor starts to generate so long
+ * after the lease ended. */
+const char *
+jd_rate_settings_problem (const jd_rate_settings_t *settings, int64_t work_bound_us)
+{
+  if (settings->transfer_lifetime_us <= 0 || settings->ask_timeout_us <= 0)
+    return "transfer lifetime and ask timeout must be positive";
+  if (settings->transfer_lifetime_us * 2 > work_bound_us)
+    return "transfer lifetime must be at most half of the work bound, or granted tokens "
+           "outlive the takeover gap";
+  if (settings->ask_timeout_us > settings->transfer_lifetime_us)
+    return "ask timeout must be within the transfer lifetime";
+  if (settings->admission_wait_us < 0 || settings->demand_window_us <= 0 ||
+      settings->retry_min_us <= 0 || settings->retry_max_us < settings->retry_min_us)
+    return "waits and retry pauses must be positive and in order";
+  if (settings->shares_per_zone < 1 || settings->even_out_divisor < 1)
+    return "shares per zone and the divisor must be at least 1";
+  return NULL;
+}
--- a/src/limits/token_exchange.c
+++ b/src/limits/token_exchange.c
@@ -7,6 +7,13 @@
 /* A budget of one ask. */
 #define MICROASKS INT64_C (1000000)
 
+/* Long enough for any bucket to be full. */
+#define LONG_AGO_US (3600 * JD_US_PER_S)
+
+/* A peer without probable tokens is asked again after this long, because shares may have
+ * moved to it. */
+#define UNHEARD_US 500000
+
 /* A peer that did not answer at all is left alone for at least this long; it may be
  * gone or cut off. */
 #define SILENT_PAUSE_US 80000
@@ -58,8 +65,7 @@
       int32_t old = jd_token_peers_find (before, after->items[i].name);
       views[i] = old >= 0 && (uint32_t)old < exchange->peer_count
                      ? exchange->views[old]
-                     : (jd_peer_view_t){ .estimate_microtokens = INT64_MAX / 4,
-                                         .estimated_at_us = now_us };
+                     : (jd_peer_view_t){ .estimated_at_us = now_us - LONG_AGO_US };
     }
   uint32_t kept = 0;
   for (uint32_t i = 0; i < exchange->open_count; i++)
@@ -78,6 +84,27 @@
   recount (exchange);
 }
 
+/* Computes what each peer should hold at most: the part of the shares that it is said to
+ * own, or else an equal part of its zone. */
+void
+jd_token_exchange_set_rate (jd_token_exchange_t *exchange, const jd_token_peers_t *peers,
+                            jd_share_rate_t share)
+{
+  int64_t entries = 1;
+  for (uint32_t i = 0; i < peers->count; i++)
+    entries += peers->items[i].same_zone;
+  int64_t shares = exchange->settings->shares_per_zone;
+  exchange->mean_capacity = share.burst * shares / entries;
+  for (uint32_t i = 0; i < exchange->peer_count; i++)
+    {
+      jd_peer_view_t *view = &exchange->views[i];
+      int64_t owned = peers->items[i].owned_shares;
+      view->capacity = owned >= 0 ? share.burst * owned : exchange->mean_capacity;
+      view->generation =
+          owned >= 0 ? share.rate_per_s * owned : share.rate_per_s * shares / entries;
+    }
+}
+
 /* Blocks a peer that gave nothing. The pause doubles, so that an organisation without
  * tokens anywhere costs few messages. */
 static void
@@ -134,25 +161,51 @@
 
 /* Returns what a peer probably holds now. */
 static int64_t
-estimate (const jd_token_exchange_t *exchange, const jd_peer_view_t *view, int64_t now_us)
+estimate (const jd_peer_view_t *view, int64_t now_us)
 {
-  int64_t elapsed_us = MIN (now_us - view->estimated_at_us, 3600 * JD_US_PER_S);
-  __int128 generated = (__int128)exchange->typical_generation * elapsed_us / JD_US_PER_S;
+  int64_t elapsed_us = CLAMP (now_us - view->estimated_at_us, 0, LONG_AGO_US);
+  __int128 generated = (__int128)view->generation * elapsed_us / JD_US_PER_S;
   __int128 total = generated + view->estimate_microtokens;
-  return total < exchange->typical_capacity ? (int64_t)total : exchange->typical_capacity;
+  return (int64_t)MIN (total, MAX (view->capacity, view->estimate_microtokens));
+}
+
+/* Tells whether one more ask may be sent. */
+static bool
+may_ask (const jd_token_exchange_t *exchange)
+{
+  return exchange->budget_microasks >= MICROASKS &&
+         exchange->open_count < JD_OPEN_ASKS_MAX;
 }
 
-/* Chooses the peer to ask for some of the wanted tokens: in the own zone if one there
- * can give them all, else the one that probably holds most. Returns -1 when nobody is
- * worth asking. */
+/* Chooses the peer that is longest unheard of. Returns -1 when all were heard of lately.
+ */
+static int32_t
+choose_unknown (const jd_token_exchange_t *exchange, int64_t now_us)
+{
+  int64_t oldest_us = now_us - UNHEARD_US;
+  int32_t chosen = -1;
+  for (uint32_t i = 0; i < exchange->peer_count; i++)
+    {
+      const jd_peer_view_t *view = &exchange->views[i];
+      if (view->asked || view->blocked_until_us > now_us ||
+          view->estimated_at_us >= oldest_us)
+        continue;
+      oldest_us = view->estimated_at_us;
+      chosen = (int32_t)i;
+    }
+  return chosen;
+}
+
+/* Chooses the peer to ask for some of the wanted tokens because requests wait: in the
+ * own zone if one there can give them all, else the one that probably holds most.
+ * Returns -1 when nobody is worth asking. */
 int32_t
 jd_token_exchange_choose (const jd_token_exchange_t *exchange,
                           const jd_token_peers_t *peers, int64_t now_us, int64_t wanted,
                           int64_t *amount)
 {
-  if (exchange->budget_microasks < MICROASKS || exchange->open_count == JD_OPEN_ASKS_MAX)
+  if (!may_ask (exchange))
     return -1;
-  int64_t least = MIN (JD_MICROTOKENS, exchange->typical_capacity / 2);
   int64_t best_score = 0;
   int32_t best = -1;
   for (uint32_t i = 0; i < exchange->peer_count; i++)
@@ -160,55 +213,117 @@
       const jd_peer_view_t *view = &exchange->views[i];
       if (view->asked || view->blocked_until_us > now_us)
         continue;
-      int64_t probable = estimate (exchange, view, now_us);
-      if (probable < least || probable <= 0)
+      int64_t probable = estimate (view, now_us);
+      if (probable < MIN (JD_MICROTOKENS, view->capacity / 2))
         continue;
-      int64_t score = peers->items[i].same_zone && probable >= wanted
-                          ? exchange->typical_capacity + probable
-                          : probable;
+      bool local = peers->items[i].same_zone && probable >= wanted;
+      int64_t score = probable + (local ? INT64_MAX / 4 : 0);
       if (score <= best_score)
         continue;
       best_score = score;
       best = (int32_t)i;
       *amount = MIN (wanted, probable);
     }
+  if (best >= 0)
+    return best;
+  *amount = MIN (wanted, JD_MICROTOKENS);
+  return choose_unknown (exchange, now_us);
+}
+
+/* Returns how much the richer of two processes has to give so that both are filled to
+ * the same part of their capacity; 0 or less when it is not richer. */
+int64_t
+jd_token_even_amount (int64_t rich, int64_t rich_capacity, int64_t poor,
+                      int64_t poor_capacity)
+{
+  __int128 sum = (__int128)rich_capacity + poor_capacity;
+  __int128 difference = (__int128)rich * poor_capacity - (__int128)poor * rich_capacity;
+  return sum > 0 ? (int64_t)(difference / sum) : 0;
+}
+
+/* Chooses a peer to even out with, although no request waits: tokens that stand at the
+ * capacity of one process while another runs low stop generation. Returns -1 when no
+ * peer probably holds clearly more. */
+int32_t
+jd_token_exchange_choose_richer (const jd_token_exchange_t *exchange, int64_t now_us,
+                                 int64_t held, int64_t capacity, int64_t *amount)
+{
+  if (!may_ask (exchange))
+    return -1;
+  int32_t best = -1;
+  int64_t least = exchange->mean_capacity / exchange->settings->even_out_divisor / 2;
+  *amount = MAX (JD_MICROTOKENS, least) - 1;
+  for (uint32_t i = 0; i < exchange->peer_count; i++)
+    {
+      const jd_peer_view_t *view = &exchange->views[i];
+      if (view->asked || MAX (view->blocked_until_us, view->even_until_us) > now_us)
+        continue;
+      int64_t even =
+          jd_token_even_amount (estimate (view, now_us), view->capacity, held, capacity);
+      if (even <= *amount)
+        continue;
+      *amount = even;
+      best = (int32_t)i;
+    }
   return best;
 }
 
-/* Records an ask and returns the message. */
+/* Records an ask and returns the message. Nothing is held when requests wait. */
 jd_token_ask_t
 jd_token_exchange_open (jd_token_exchange_t *exchange, uint32_t peer, int64_t amount,
-                        uint64_t nonce, int64_t now_us)
+                        int64_t held, uint64_t nonce, int64_t now_us)
 {
-  exchange->open[exchange->open_count++] = (jd_open_ask_t){
-    .nonce = nonce, .peer = peer, .amount_microtokens = amount, .asked_at_us = now_us
-  };
+  exchange->open[exchange->open_count++] = (jd_open_ask_t){ .nonce = nonce,
+                                                            .peer = peer,
+                                                            .urgent = held == 0,
+                                                            .amount_microtokens = amount,
+                                                            .asked_at_us = now_us };
   exchange->views[peer].asked = true;
   exchange->pending_microtokens += amount;
   exchange->budget_microasks -= MICROASKS;
   exchange->asks_sent++;
   return (jd_token_ask_t){ .nonce = nonce,
                            .amount_microtokens = amount,
-                           .asked_at_us = now_us };
+                           .asked_at_us = now_us,
+                           .held_microtokens = held };
+}
+
+/* Notes what a peer holds. */
+void
+jd_token_exchange_note_level (jd_token_exchange_t *exchange, int32_t peer, int64_t level,
+                              int64_t now_us)
+{
+  if (peer < 0)
+    return;
+  exchange->views[peer].estimate_microtokens = level;
+  exchange->views[peer].estimated_at_us = now_us;
 }
 
-/* Updates the view of a peer by its answer. */
+/* Updates the view of a peer by its answer. Peers that disappoint are asked less and
+ * less often. */
 static void
-learn (jd_token_exchange_t *exchange, const jd_open_ask_t *ask, int64_t given,
-       int64_t now_us)
+learn (jd_token_exchange_t *exchange, const jd_open_ask_t *ask,
+       const jd_token_grant_t *grant, int64_t now_us)
 {
+  const jd_rate_settings_t *settings = exchange->settings;
   jd_peer_view_t *view = &exchange->views[ask->peer];
-  if (given == 0)
+  int64_t given = grant->amount_microtokens;
+  if (given == 0 && ask->urgent)
     {
-      pause_peer (exchange, ask->peer, exchange->settings->retry_min_us, now_us);
+      pause_peer (exchange, ask->peer, settings->retry_min_us, now_us);
       return;
     }
-  int64_t before = estimate (exchange, view, now_us);
-  int64_t left = given < ask->amount_microtokens ? 0 : MAX (before - given, given / 2);
-  view->estimate_microtokens = left;
-  view->estimated_at_us = now_us;
+  jd_token_exchange_note_level (exchange, (int32_t)ask->peer, grant->left_microtokens,
+                                now_us);
   view->blocked_until_us = 0;
   view->pause_us = 0;
+  if (given >= ask->amount_microtokens / 2)
+    view->even_pause_us = 0;
+  else
+    view->even_pause_us =
+        CLAMP (view->even_pause_us * 2, settings->even_out_interval_us * 4,
+               settings->retry_max_us);
+  view->even_until_us = now_us + view->even_pause_us;
 }
 
 /* Matches a grant with its ask and closes the ask. Returns whether the grant is in time
@@ -226,7 +341,7 @@
         continue;
       exchange->open[i] = exchange->open[--exchange->open_count];
       recount (exchange);
-      learn (exchange, &ask, grant->amount_microtokens, now_us);
+      learn (exchange, &ask, grant, now_us);
       return now_us - ask.asked_at_us < exchange->settings->transfer_lifetime_us;
     }
   exchange->grants_dropped++;
--- a/src/limits/token_peer.h
+++ b/src/limits/token_peer.h
@@ -10,6 +10,7 @@
 {
   jd_name_t name;
   bool same_zone;
+  int32_t owned_shares; /* Of its zone; -1 when unknown. */
 } jd_token_peer_t;
 
 /* The peers of this process. Their order is kept until they are set again. */
--- a/test/random/test_rate_limit.c
+++ b/test/random/test_rate_limit.c
@@ -8,7 +8,7 @@
 
 #define RUN_US (20 * JD_US_PER_S)
 #define FIXED_SEEDS 12
-#define SEEDS_PER_MECHANISM 24
+#define SEEDS_PER_MECHANISM 60
 
 static const char *const fault_names[JD_FLEET_FAULTS] = {
   "nothing",
@@ -101,11 +101,14 @@
   if (mechanism == JD_FLEET_NO_TAKEOVER_GAP)
     *trouble = (jd_fleet_trouble_t){ .restarted = 0.02, .partitioned = 0.02 };
   if (mechanism == JD_FLEET_RAISE_AT_ONCE)
-    *trouble = (jd_fleet_trouble_t){ .slow = trouble->slow, .reconfigured = true };
+    {
+      *trouble = (jd_fleet_trouble_t){ .slow = trouble->slow, .reconfigured = true };
+      options->zones = 2;
+    }
   if (mechanism == JD_FLEET_CLOCK_READ_BEFORE_RECEIPT)
     {
       *trouble =
-          (jd_fleet_trouble_t){ .late = 0.5, .paused = 0.1, .longest_pause_us = 600000 };
+          (jd_fleet_trouble_t){ .late = 0.5, .paused = 0.10, .longest_pause_us = 600000 };
       settings->transfer_lifetime_us = log_between (rng, 30000, 100000);
     }
 }
@@ -128,9 +131,9 @@
     .drift_ppm = 300,
     .off = off,
   };
+  options.settings.shares_per_zone = 6;
   options.trouble = random_trouble (&rng);
   options.settings.transfer_lifetime_us = log_between (&rng, 30000, 500000);
-  options.settings.shares_per_zone = 6;
   for (uint32_t i = 0; i < options.organisation_count; i++)
     {
       double rate = 30 + 70 * jd_rng_unit (&rng);
@@ -176,7 +179,8 @@
 {
   for (int off = JD_FLEET_SOUND + 1; off < JD_FLEET_FAULTS; off++)
     {
-      uint64_t seed = 1;
+      /* Seeds 1 to 24 do not find this one. */
+      uint64_t seed = off == JD_FLEET_CLOCK_READ_BEFORE_RECEIPT ? 25 : 1;
       while (seed <= SEEDS_PER_MECHANISM && run_seed (seed, off, off, false))
         seed++;
       printf ("\n    without \"%s\": seed %d", fault_names[off], (int)seed);
--- a/test/support/rate_fleet.c
+++ b/test/support/rate_fleet.c
@@ -29,6 +29,8 @@
 
 typedef struct event
 {
+  int64_t at_us;
+  uint64_t sequence; /* Events of one time run in order of insertion. */
   event_kind_t kind;
   uint32_t seat;    /* Receiver of requests and messages. */
   uint32_t process; /* Receiver of the other kinds. */
@@ -76,7 +78,8 @@
 struct jd_rate_fleet
 {
   jd_rate_fleet_options_t options;
-  jd_event_queue_t events;
+  GSequence *events;
+  uint64_t next_sequence;
   jd_philox_t philox;
   jd_rng_t rng;
   GPtrArray *processes;
@@ -127,13 +130,25 @@
   return process->clock_offset_us + true_us + true_us * process->drift_ppm / JD_US_PER_S;
 }
 
+/* Compares two events for the queue. */
+static gint
+compare_events (gconstpointer a, gconstpointer b, gpointer context)
+{
+  const event_t *left = a;
+  const event_t *right = b;
+  if (left->at_us != right->at_us)
+    return left->at_us < right->at_us ? -1 : 1;
+  return left->sequence < right->sequence ? -1 : 1;
+}
+
 /* Schedules a copy of an event. */
 static void
 schedule (jd_rate_fleet_t *fleet, int64_t at_us, event_t event)
 {
-  event_t *item = g_new (event_t, 1);
-  *item = event;
-  jd_event_queue_push (&fleet->events, at_us, item);
+  event.at_us = at_us;
+  event.sequence = fleet->next_sequence++;
+  g_sequence_insert_sorted (fleet->events, g_memdup2 (&event, sizeof (event)),
+                            compare_events, NULL);
 }
 
 /* Sends a message with the faults of the network. */
@@ -230,6 +245,24 @@
                                      options->organisation_count);
 }
 
+/* Returns how many shares a process knows a seat to own. Leases are known within a zone
+ * only. */
+static int32_t
+known_shares (const process_t *process, uint32_t seat)
+{
+  const jd_rate_fleet_t *fleet = process->fleet;
+  uint32_t zone = seat / fleet->options.seats_per_zone;
+  if (zone != process->seat / fleet->options.seats_per_zone)
+    return -1;
+  int32_t count = 0;
+  for (uint32_t i = 0; i < fleet->options.settings.shares_per_zone; i++)
+    {
+      int32_t owner = fleet->shares[zone][i].owner;
+      count += owner >= 0 && process_at (fleet, (uint32_t)owner)->seat == seat;
+    }
+  return count;
+}
+
 /* Tells a process its peers. */
 static void
 apply_peers (process_t *process, int64_t now_us)
@@ -243,6 +276,7 @@
       if (seat == process->seat)
         continue;
       g_snprintf (peers[count].name, sizeof (peers[count].name), "%u", seat);
+      peers[count].owned_shares = known_shares (process, seat);
       peers[count++].same_zone = seat / per_zone == process->seat / per_zone;
     }
   jd_rate_limiter_set_peers (process->limiter, now_us, peers, count);
@@ -334,7 +368,8 @@
       bool mine = share->owner == (int32_t)process->index;
       if (mine && (owned > part || chance (fleet, fleet->options.trouble.restarted)))
         {
-          *share = (share_t){ -1, fleet->now_us + fleet->options.takeover_gap_us };
+          share->owner = -1;
+          share->free_at_us = fleet->now_us + fleet->options.takeover_gap_us;
           owned--;
         }
       else if (share->owner < 0 && share->free_at_us <= fleet->now_us && owned < part &&
@@ -359,6 +394,7 @@
   release_shares (fleet, process->seat / fleet->options.seats_per_zone);
   process->lease_end_us = process->read_at_us + LEASE_US + LEASE_US / 2000;
   uint32_t owned = settle_shares (process);
+  apply_peers (process, now_us);
   bool forever = fleet->options.off == JD_FLEET_LEASE_END_IGNORED;
   jd_rate_limiter_set_shares (process->limiter, now_us, owned,
                               forever ? INT64_MAX : now_us + LEASE_US);
@@ -552,13 +588,6 @@
     deliver (chosen, event);
 }
 
-/* Ends a process; its callers' requests get no decision. */
-static void
-end_process (process_t *process)
-{
-  process->alive = false;
-}
-
 /* Publishes another configuration: either the zone weights change and the sum stays, or
  * one organisation's rate and burst change. */
 static void
@@ -635,7 +664,7 @@
     {
       process->superseded = true;
       if (chance (fleet, 0.5))
-        end_process (process);
+        process->alive = false;
       start_process (fleet, process->seat);
     }
 }
@@ -648,7 +677,7 @@
   fleet->options = *options;
   if (options->off == JD_FLEET_RAISE_AT_ONCE)
     fleet->options.settings.raise_delay_us = 0;
-  jd_event_queue_init (&fleet->events);
+  fleet->events = g_sequence_new (g_free);
   fleet->philox = (jd_philox_t){ .seed = options->seed };
   fleet->rng = jd_philox_rng (&fleet->philox);
   fleet->processes = g_ptr_array_new_with_free_func (free_process);
@@ -690,7 +719,7 @@
   g_ptr_array_unref (fleet->processes);
   g_array_unref (fleet->configs);
   g_hash_table_unref (fleet->waiting);
-  jd_event_queue_clear (&fleet->events);
+  g_sequence_free (fleet->events);
   g_free (fleet);
 }
 
@@ -706,34 +735,44 @@
                        .request_id = request_id });
 }
 
-/* Ends all processes of a seat for good. */
+/* Ends all processes of a seat for good; their waiting requests get no decision. */
 void
 jd_rate_fleet_lose_host (jd_rate_fleet_t *fleet, uint32_t seat)
 {
   for (uint32_t i = 0; i < fleet->processes->len; i++)
     {
       if (process_at (fleet, i)->seat == seat)
-        end_process (process_at (fleet, i));
+        process_at (fleet, i)->alive = false;
     }
 }
 
+/* Runs one event. */
+static void
+run_event (jd_rate_fleet_t *fleet, const event_t *event)
+{
+  if (event->kind == EVENT_FAULTS)
+    cause_faults (fleet);
+  else if (event->kind <= EVENT_GRANT)
+    deliver_to_seat (fleet, event);
+  else if (event->kind != EVENT_RESUME)
+    deliver (process_at (fleet, event->process), event);
+  else if (process_at (fleet, event->process)->alive)
+    resume (process_at (fleet, event->process));
+}
+
 /* Runs until a true time. */
 void
 jd_rate_fleet_run (jd_rate_fleet_t *fleet, int64_t until_us)
 {
-  while (jd_event_queue_next_us (&fleet->events) <= until_us)
+  while (!g_sequence_is_empty (fleet->events))
     {
-      fleet->now_us = jd_event_queue_next_us (&fleet->events);
-      event_t *event = jd_event_queue_pop (&fleet->events);
-      if (event->kind == EVENT_FAULTS)
-        cause_faults (fleet);
-      else if (event->kind <= EVENT_GRANT)
-        deliver_to_seat (fleet, event);
-      else if (event->kind != EVENT_RESUME)
-        deliver (process_at (fleet, event->process), event);
-      else if (process_at (fleet, event->process)->alive)
-        resume (process_at (fleet, event->process));
-      g_free (event);
+      GSequenceIter *first = g_sequence_get_begin_iter (fleet->events);
+      const event_t *event = g_sequence_get (first);
+      if (event->at_us > until_us)
+        break;
+      fleet->now_us = event->at_us;
+      run_event (fleet, event);
+      g_sequence_remove (first);
     }
   fleet->now_us = until_us;
 }
--- a/test/support/rate_fleet.h
+++ b/test/support/rate_fleet.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "limits/rate_limiter.h"
-#include "support/event_queue.h"
 #include "support/rate_history.h"
 
 #define JD_FLEET_MAX_ZONES 5
