--- a/src/config/fleet_record.c
+++ b/src/config/fleet_record.c
@@ -15,7 +15,7 @@
 static const char *const top_fields[] = { "zones", "shares_per_zone", "cells", NULL };
 static const char *const zone_fields[] = { "name", "weight", NULL };
 static const char *const cell_fields[] = { "name", "zone", "role", "seats", NULL };
-static const char *const seat_fields[] = { "name", "address", NULL };
+static const char *const seat_fields[] = { "name", "address", "witness", NULL };
 static const char *const roles[] = { "entry", "broker", NULL };
 
 /* Names that may occur once in a fleet. */
@@ -87,7 +87,9 @@
   seat->name = jd_record_reader_name (reader, object, "name");
   seat->address = jd_record_reader_address (reader, object, "address");
   jd_record_reader_unique (reader, seen->seats, "name", seat->name);
-  jd_record_reader_unique (reader, seen->addresses, "address", seat->address);
+  seat->witness = jd_record_reader_flag (reader, object, "witness");
+  if (!seat->witness)
+    jd_record_reader_unique (reader, seen->addresses, "address", seat->address);
 }
 
 /* Reads one cell with its seats. */
@@ -113,6 +115,34 @@
     }
 }
 
+/* Checks that a witness is served by a seat of another cell and that it is not the
+ * first of its cell, which breaks ties. */
+static void
+check_witnesses (jd_record_reader_t *reader, const jd_cell_record_t *cell,
+                 const seen_names_t *seen)
+{
+  uint32_t witnesses = 0;
+  for (uint32_t i = 0; i < cell->seat_count; i++)
+    {
+      const jd_seat_record_t *seat = &cell->seats[i];
+      if (!seat->witness)
+        continue;
+      witnesses++;
+      if (i == 0 || witnesses > 1)
+        jd_record_reader_fail (reader, "seats",
+                               "may have one witness, which is not the first seat");
+      if (seat->address && !g_hash_table_contains (seen->addresses, seat->address))
+        jd_record_reader_fail (reader, "seats", "witness \"%s\" has no seat at %s",
+                               seat->name, seat->address);
+      for (uint32_t j = 0; j < cell->seat_count; j++)
+        {
+          if (j != i && g_strcmp0 (seat->address, cell->seats[j].address) == 0)
+            jd_record_reader_fail (reader, "seats", "witness \"%s\" is in its own cell",
+                                   seat->name);
+        }
+    }
+}
+
 /* Reads all fields after the head. */
 static void
 read_fleet (jd_record_reader_t *reader, json_t *object, jd_fleet_record_t *record)
@@ -135,6 +165,12 @@
       read_cell (reader, json_array_get (cells, i), &seen, &record->cells[i]);
       jd_record_reader_leave (reader, mark);
     }
+  for (uint32_t i = 0; i < record->cell_count; i++)
+    {
+      jd_reader_mark_t mark = jd_record_reader_enter (reader, "cells", i);
+      check_witnesses (reader, &record->cells[i], &seen);
+      jd_record_reader_leave (reader, mark);
+    }
   g_hash_table_unref (seen.zones);
   g_hash_table_unref (seen.cells);
   g_hash_table_unref (seen.seats);
--- a/src/config/fleet_record.h
+++ b/src/config/fleet_record.h
@@ -12,6 +12,9 @@
 {
   char *name;
   char *address; /* "IP:port" of the seat's ROUTER socket. */
+  /* Votes in the quorum of a cell of another zone, but never owns anything. Served by
+   * the process whose own seat has the same address. */
+  gboolean witness;
 } jd_seat_record_t;
 
 /* A failure-detection group: the seats of one role in one zone, or a part of them. */
--- a/src/daemons/entry_limits.c
+++ b/src/daemons/entry_limits.c
@@ -90,7 +90,7 @@
       const jd_cell_record_t *cell = &fleet->cells[i];
       for (uint32_t j = 0; cell->role == JD_ROLE_ENTRY && j < cell->seat_count; j++)
         {
-          if (strcmp (cell->seats[j].name, limits->seat) == 0)
+          if (cell->seats[j].witness || strcmp (cell->seats[j].name, limits->seat) == 0)
             continue;
           jd_token_peer_t peer = { .same_zone = strcmp (cell->zone, limits->zone) == 0 };
           g_strlcpy (peer.name, cell->seats[j].name, sizeof (peer.name));
--- a/src/daemons/entry_routing.c
+++ b/src/daemons/entry_routing.c
@@ -299,7 +299,10 @@
     {
       const jd_cell_record_t *cell = &fleet->cells[i];
       for (uint32_t j = 0; cell->role == JD_ROLE_BROKER && j < cell->seat_count; j++)
-        jd_node_send (node, cell->seats[j].name, &message);
+        {
+          if (!cell->seats[j].witness)
+            jd_node_send (node, cell->seats[j].name, &message);
+        }
     }
 }
 
--- a/src/daemons/node.c
+++ b/src/daemons/node.c
@@ -8,6 +8,13 @@
 /* Most cells of one role in one zone that a node looks at. */
 #define MAX_CELLS 256
 
+/* The vote of this process in a cell of another zone. */
+typedef struct witness
+{
+  jd_name_t cell;
+  jd_lease_t *lease;
+} witness_t;
+
 struct jd_node
 {
   jd_node_options_t options;
@@ -18,6 +25,7 @@
   jd_fleet_record_t *fleet; /* NULL until one is in force. */
   jd_lease_t *lease;        /* NULL until the own seat is listed. */
   jd_ownership_t *ownership;
+  GPtrArray *witnesses; /* witness_t */
   gboolean lease_was_held;
   _Atomic int64_t confirmed_us; /* -1: never. */
 };
@@ -94,21 +102,123 @@
   jd_node_send (context, to_seat, &message);
 }
 
-/* Creates the lease of the own seat. */
-static void
-start_lease (jd_node_t *node, const char *const *seats, uint32_t count, const char *cell)
+/* Names of the seats of a cell, for the lease. */
+typedef struct seat_names
+{
+  uint32_t count;
+  uint32_t witness_count;
+  const char *all[JD_CELL_MAX_SEATS];
+  const char *witnesses[JD_CELL_MAX_SEATS];
+} seat_names_t;
+
+/* Returns the names of the seats of a cell; valid as long as the record. */
+static seat_names_t
+names_of (const jd_cell_record_t *cell)
+{
+  seat_names_t names = { 0 };
+  for (uint32_t i = 0; i < cell->seat_count && i < JD_CELL_MAX_SEATS; i++)
+    {
+      names.all[names.count++] = cell->seats[i].name;
+      if (cell->seats[i].witness)
+        names.witnesses[names.witness_count++] = cell->seats[i].name;
+    }
+  return names;
+}
+
+/* Creates the lease of a seat that this process serves. */
+static jd_lease_t *
+new_lease (jd_node_t *node, const char *seat, const seat_names_t *names)
 {
   jd_lease_options_t options = {
-    .seat = node->options.seat,
+    .seat = seat,
     .incarnation = node->incarnation,
-    .seats = seats,
-    .seat_count = count,
+    .seats = names->all,
+    .seat_count = names->count,
     .settings = jd_lease_settings_default (),
     .send = send_heartbeat,
     .context = node,
   };
-  node->lease = jd_lease_new (&options, jd_node_now_us (node));
-  node->ownership = jd_ownership_new (node->lease, cell);
+  return jd_lease_new (&options, jd_node_now_us (node));
+}
+
+/* Frees one witness. */
+static void
+free_witness (gpointer data)
+{
+  witness_t *witness = data;
+  jd_lease_free (witness->lease);
+  g_free (witness);
+}
+
+/* Returns the witness of a cell, or NULL. */
+static witness_t *
+find_witness (const jd_node_t *node, const char *cell)
+{
+  for (guint i = 0; i < node->witnesses->len; i++)
+    {
+      witness_t *witness = g_ptr_array_index (node->witnesses, i);
+      if (strcmp (witness->cell, cell) == 0)
+        return witness;
+    }
+  return NULL;
+}
+
+/* Brings the witness of one cell in line with the fleet. A witness announces itself as
+ * released, because it never uses a resource of the cell. */
+static void
+apply_witness (jd_node_t *node, const jd_cell_record_t *cell, const char *seat)
+{
+  seat_names_t names = names_of (cell);
+  witness_t *witness = find_witness (node, cell->name);
+  if (witness)
+    {
+      jd_lease_set_seats (witness->lease, names.all, names.count, jd_node_now_us (node));
+      return;
+    }
+  witness = g_new0 (witness_t, 1);
+  g_strlcpy (witness->cell, cell->name, sizeof (witness->cell));
+  witness->lease = new_lease (node, seat, &names);
+  jd_lease_set_state (witness->lease, JD_SEAT_RELEASED, jd_node_now_us (node));
+  g_ptr_array_add (node->witnesses, witness);
+  jd_log_event (G_LOG_LEVEL_INFO, "witness", "cell=%s as=%s", cell->name, seat);
+}
+
+/* Starts or stops the votes of this process in other cells. */
+static void
+apply_witnesses (jd_node_t *node)
+{
+  GPtrArray *listed = g_ptr_array_new ();
+  for (uint32_t i = 0; i < node->fleet->cell_count; i++)
+    {
+      const jd_cell_record_t *cell = &node->fleet->cells[i];
+      for (uint32_t j = 0; j < cell->seat_count; j++)
+        {
+          if (!cell->seats[j].witness ||
+              strcmp (cell->seats[j].address, node->options.peer_address) != 0)
+            continue;
+          apply_witness (node, cell, cell->seats[j].name);
+          g_ptr_array_add (listed, find_witness (node, cell->name));
+        }
+    }
+  for (guint i = node->witnesses->len; i > 0; i--)
+    {
+      if (!g_ptr_array_find (listed, g_ptr_array_index (node->witnesses, i - 1), NULL))
+        g_ptr_array_remove_index (node->witnesses, i - 1);
+    }
+  g_ptr_array_free (listed, TRUE);
+}
+
+/* Returns the lease that a seat of the fleet belongs to, or NULL: the own one or that of
+ * a witness. */
+static jd_lease_t *
+lease_for (const jd_node_t *node, const char *seat)
+{
+  const jd_cell_record_t *cell =
+      node->fleet ? jd_fleet_record_cell_of_seat (node->fleet, seat) : NULL;
+  if (!cell)
+    return NULL;
+  witness_t *witness = find_witness (node, cell->name);
+  return witness ? witness->lease : node->lease;
 }
 
 /* Tells the ownership which cells share the resources of the zone. */
@@ -152,16 +262,19 @@
   if (node->fleet)
     jd_fleet_record_unref (node->fleet);
   node->fleet = fleet;
+  apply_witnesses (node);
   const jd_cell_record_t *cell = own_cell (node);
   if (!cell)
     return;
-  const char *seats[JD_CELL_MAX_SEATS];
-  for (uint32_t i = 0; i < cell->seat_count; i++)
-    seats[i] = cell->seats[i].name;
+  seat_names_t names = names_of (cell);
   if (!node->lease)
-    start_lease (node, seats, cell->seat_count, cell->name);
+    {
+      node->lease = new_lease (node, node->options.seat, &names);
+      node->ownership = jd_ownership_new (node->lease, cell->name);
+    }
   else
-    jd_lease_set_seats (node->lease, seats, cell->seat_count, jd_node_now_us (node));
+    jd_lease_set_seats (node->lease, names.all, names.count, jd_node_now_us (node));
+  jd_ownership_set_witnesses (node->ownership, names.witnesses, names.witness_count);
   apply_cells (node);
 }
 
@@ -228,11 +341,21 @@
                   const jd_heartbeat_t *heartbeat)
 {
   jd_message_t reply = { .type = JD_MESSAGE_HEARTBEAT_ACK };
-  if (node->lease && jd_lease_on_heartbeat (node->lease, heartbeat, jd_node_now_us (node),
-                                            &reply.heartbeat_ack))
+  jd_lease_t *lease = lease_for (node, heartbeat->seat);
+  if (lease && jd_lease_on_heartbeat (lease, heartbeat, jd_node_now_us (node),
+                                      &reply.heartbeat_ack))
     jd_peer_link_reply (node->link, origin, &reply);
 }
 
+/* Takes an acknowledgement for one of the seats that this process serves. */
+static void
+take_ack (jd_node_t *node, const jd_heartbeat_ack_t *ack)
+{
+  jd_lease_t *lease = lease_for (node, ack->to_seat);
+  if (lease)
+    jd_lease_on_ack (lease, ack, jd_node_now_us (node));
+}
+
 /* Serves membership and passes other messages on. */
 static void
 on_message (void *context, const jd_peer_origin_t *origin, jd_message_t *message)
@@ -244,8 +367,7 @@
       answer_heartbeat (node, origin, &message->heartbeat);
       break;
     case JD_MESSAGE_HEARTBEAT_ACK:
-      if (node->lease)
-        jd_lease_on_ack (node->lease, &message->heartbeat_ack, jd_node_now_us (node));
+      take_ack (node, &message->heartbeat_ack);
       break;
     default:
       node->options.callbacks.on_message (node->options.callbacks.context, origin,
@@ -282,6 +404,7 @@
    * random: two processes of one seat that start together still differ. */
   node->incarnation = ((uint64_t)jd_wall_time_us () << 8) | (jd_entropy () & 0xff);
   node->confirmed_us = -1;
+  node->witnesses = g_ptr_array_new_with_free_func (free_witness);
   jd_peer_link_options_t link = {
     .seat = options->seat,
     .bind_address = options->peer_address,
@@ -291,6 +414,7 @@
   node->link = jd_peer_link_new (&link, error);
   if (!node->link)
     {
+      g_ptr_array_free (node->witnesses, TRUE);
       g_free (node);
       return NULL;
     }
@@ -308,6 +432,7 @@
   jd_platform_feed_free (node->feed);
   jd_ownership_free (node->ownership);
   jd_lease_free (node->lease);
+  g_ptr_array_free (node->witnesses, TRUE);
   if (node->fleet)
     jd_fleet_record_unref (node->fleet);
   jd_peer_link_free (node->link);
@@ -349,6 +474,11 @@
     return;
   int64_t now_us = jd_node_now_us (node);
   jd_lease_tick (node->lease, now_us);
+  for (guint i = 0; i < node->witnesses->len; i++)
+    {
+      witness_t *witness = g_ptr_array_index (node->witnesses, i);
+      jd_lease_tick (witness->lease, now_us);
+    }
   log_lease (node, now_us);
 }
 
--- a/src/membership/ownership.c
+++ b/src/membership/ownership.c
@@ -22,6 +22,7 @@
   jd_lease_t *lease;
   char *cell;
   char **cells;
+  char **witnesses;
   GQueue old; /* of old_cells_t, oldest first */
 };
 
@@ -53,6 +54,7 @@
     return;
   g_queue_clear_full (&ownership->old, free_old_cells);
   g_strfreev (ownership->cells);
+  g_strfreev (ownership->witnesses);
   g_free (ownership->cell);
   g_free (ownership);
 }
@@ -99,6 +101,23 @@
   ownership->cells = copy_names (cells, count);
 }
 
+/* Takes the seats that are never candidates. */
+void
+jd_ownership_set_witnesses (jd_ownership_t *ownership, const char *const *seats,
+                            uint32_t count)
+{
+  g_strfreev (ownership->witnesses);
+  ownership->witnesses = copy_names (seats, count);
+}
+
+/* Returns TRUE for a seat that never owns anything. */
+static gboolean
+is_witness (const jd_ownership_t *ownership, const char *seat)
+{
+  return ownership->witnesses &&
+         g_strv_contains ((const char *const *)ownership->witnesses, seat);
+}
+
 /* Returns TRUE when the first name wins over the second for a resource (rendezvous
  * hashing). */
 static gboolean
@@ -170,7 +189,8 @@
   for (uint32_t i = 0; i < jd_lease_seat_count (lease); i++)
     {
       const char *seat = jd_lease_seat_name (lease, i);
-      if (strcmp (seat, own) != 0 && is_preferred (seat, own, resource))
+      if (strcmp (seat, own) != 0 && !is_witness (ownership, seat) &&
+          is_preferred (seat, own, resource))
         until_us = MIN (until_us, jd_lease_gone_until_us (lease, i));
     }
   return now_us < until_us ? until_us : JD_LEASE_NEVER;
--- a/src/membership/ownership.h
+++ b/src/membership/ownership.h
@@ -14,6 +14,10 @@
 void jd_ownership_set_cells (jd_ownership_t *ownership, const char *const *cells,
                              uint32_t count, int64_t now_us);
 
+/* Seats of the own cell that vote but never own anything. */
+void jd_ownership_set_witnesses (jd_ownership_t *ownership, const char *const *seats,
+                                 uint32_t count);
+
 int64_t jd_ownership_valid_until_us (jd_ownership_t *ownership, const char *resource,
                                      int64_t now_us);
 gboolean jd_ownership_owns (jd_ownership_t *ownership, const char *resource,
