--- /dev/null
+++ b/src/membership/gossip_peers.c
@@ -0,0 +1,95 @@
+#include "membership/gossip_peers.h"
+
+#include <string.h>
+
+/* Frees one peer. */
+static void
+free_peer (gpointer data)
+{
+  jd_gossip_peer_t *peer = data;
+  g_free (peer->address);
+  g_free (peer);
+}
+
+/* Starts without peers. */
+void
+jd_gossip_peers_init (jd_gossip_peers_t *peers, const jd_rng_t *rng)
+{
+  peers->list = g_ptr_array_new_with_free_func (free_peer);
+  peers->index = g_hash_table_new (g_str_hash, g_str_equal);
+  peers->rng = *rng;
+}
+
+/* Frees all peers. */
+void
+jd_gossip_peers_clear (jd_gossip_peers_t *peers)
+{
+  g_hash_table_unref (peers->index);
+  g_ptr_array_unref (peers->list);
+}
+
+/* Adds a peer and takes over what is known about it. */
+static void
+add_peer (GPtrArray *list, GHashTable *index, const jd_gossip_peer_t *known,
+          const char *address)
+{
+  jd_gossip_peer_t *peer = g_new0 (jd_gossip_peer_t, 1);
+  peer->address = g_strdup (address);
+  peer->answered = known && known->answered;
+  g_ptr_array_add (list, peer);
+  g_hash_table_insert (index, peer->address, peer);
+}
+
+/* Replaces the list of peers; the own address and repeated ones are left out. */
+void
+jd_gossip_peers_set (jd_gossip_peers_t *peers, const char *own_address,
+                     const char *const *addresses, uint32_t count)
+{
+  GPtrArray *list = g_ptr_array_new_with_free_func (free_peer);
+  GHashTable *index = g_hash_table_new (g_str_hash, g_str_equal);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (strcmp (addresses[i], own_address) != 0 &&
+          !g_hash_table_contains (index, addresses[i]))
+        add_peer (list, index, jd_gossip_peers_find (peers, addresses[i]), addresses[i]);
+    }
+  jd_gossip_peers_clear (peers);
+  peers->list = list;
+  peers->index = index;
+}
+
+/* Returns a peer by its address, or NULL. */
+jd_gossip_peer_t *
+jd_gossip_peers_find (const jd_gossip_peers_t *peers, const char *address)
+{
+  return g_hash_table_lookup (peers->index, address);
+}
+
+/* Picks up to count different peers at random and returns their number. Moves them to
+ * the front of the list, which has no order. */
+uint32_t
+jd_gossip_peers_pick (jd_gossip_peers_t *peers, jd_gossip_peer_t **picked, uint32_t count)
+{
+  gpointer *list = peers->list->pdata;
+  uint32_t total = peers->list->len;
+  uint32_t wanted = MIN (count, total);
+  for (uint32_t i = 0; i < wanted; i++)
+    {
+      uint32_t j = i + (uint32_t)jd_rng_below (&peers->rng, total - i);
+      gpointer chosen = list[j];
+      list[j] = list[i];
+      list[i] = chosen;
+      picked[i] = chosen;
+    }
+  return wanted;
+}
+
+/* Returns the number of peers that have answered at least once. */
+uint32_t
+jd_gossip_peers_answered (const jd_gossip_peers_t *peers)
+{
+  uint32_t answered = 0;
+  for (guint i = 0; i < peers->list->len; i++)
+    answered += ((jd_gossip_peer_t *)peers->list->pdata[i])->answered ? 1 : 0;
+  return answered;
+}
--- /dev/null
+++ b/test/support/gossip_world.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "membership/config_gossip.h"
+#include "support/sim_network.h"
+
+/* Processes that spread records over a simulated network, with a platform of two
+ * replicas, of which the second one lags. */
+#define GOSSIP_RECORDS_MAX 64
+#define GOSSIP_VERSIONS_MAX 256
+#define GOSSIP_WATCHERS 2
+
+typedef struct gossip_record
+{
+  char name[64];
+  uint64_t versions[2]; /* Of the two replicas. */
+  char *texts[2];
+  int64_t everywhere_us[GOSSIP_VERSIONS_MAX]; /* When both replicas had a version. */
+  uint64_t deleted_at;                        /* Version of the deletion, 0: none. */
+} gossip_record_t;
+
+typedef struct gossip_process
+{
+  struct gossip_world *world;
+  jd_philox_t philox;
+  jd_config_store_t *store; /* NULL: down. */
+  jd_config_gossip_t *gossip;
+  int64_t next_listing_us;
+  gboolean platform_cut;
+  uint64_t seen[GOSSIP_RECORDS_MAX]; /* Versions at the last check. */
+} gossip_process_t;
+
+typedef struct gossip_world
+{
+  jd_philox_t philox;
+  jd_rng_t rng;
+  sim_network_t *network;
+  uint32_t count;
+  gossip_process_t *processes;
+  char **addresses;
+  gossip_record_t records[GOSSIP_RECORDS_MAX];
+  uint32_t record_count;
+  uint64_t wire_bytes; /* Estimated size of all messages in msgpack. */
+  uint64_t listings;   /* Reads of the platform. */
+  uint64_t violations;
+} gossip_world_t;
+
+gossip_world_t *gossip_world_new (uint64_t seed, uint32_t count);
+void gossip_world_free (gossip_world_t *world);
+void gossip_world_start (gossip_world_t *world, uint32_t id);
+void gossip_world_stop (gossip_world_t *world, uint32_t id);
+gossip_record_t *gossip_world_publish (gossip_world_t *world, const char *name,
+                                       const char *body);
+void gossip_world_catch_up (gossip_world_t *world);
+int64_t gossip_world_spread_us (gossip_world_t *world, const gossip_record_t *record,
+                                int64_t limit_us);
--- a/test/support/sim_network.c
+++ b/test/support/sim_network.c
@@ -27,7 +27,6 @@
   int64_t now_us;
   uint64_t sequence;
   uint64_t sent;
-  uint64_t sent_bytes;
   uint32_t process_count;
   process_t *processes;
   guint8 *cuts;   /* from * process_count + to */
@@ -171,7 +170,6 @@
 sim_network_send (sim_network_t *network, uint32_t from, uint32_t to, GBytes *message)
 {
   network->sent++;
-  network->sent_bytes += g_bytes_get_size (message);
   gboolean cut = network->cuts[(gsize)from * network->process_count + to];
   gboolean lost = cut || jd_rng_unit (&network->rng) < network->faults.loss;
   if (from == to || !lost)
@@ -225,11 +223,9 @@
   network->now_us = until_us;
 }
 
-/* Returns the number of messages sent so far, and their size. */
+/* Returns the number of messages sent so far. */
 uint64_t
-sim_network_sent (const sim_network_t *network, uint64_t *size_bytes)
+sim_network_sent (const sim_network_t *network)
 {
-  if (size_bytes)
-    *size_bytes = network->sent_bytes;
   return network->sent;
 }
--- a/test/support/sim_network.h
+++ b/test/support/sim_network.h
@@ -40,4 +40,4 @@
                        GBytes *message);
 void sim_network_wake_in (sim_network_t *network, uint32_t process, int64_t delay_us);
 void sim_network_run_until (sim_network_t *network, int64_t until_us);
-uint64_t sim_network_sent (const sim_network_t *network, uint64_t *size_bytes);
+uint64_t sim_network_sent (const sim_network_t *network);
