--- a/test/unit/test_config_gossip.c
+++ b/test/unit/test_config_gossip.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "membership/fleet_view.h"
 #include "membership/platform_watch.h"
 #include "support/test_main.h"
 
@@ -70,8 +71,10 @@
 two_seats_of_a_zone_watch (void)
 {
   static char names[4][8] = { "s0", "s1", "s2", "s3" };
-  jd_seat_record_t first[] = { { names[0] }, { names[1] }, { names[2] } };
-  jd_seat_record_t second[] = { { names[3] } };
+  jd_seat_record_t first[] = { { names[0], names[0] },
+                               { names[1], names[1] },
+                               { names[2], names[2] } };
+  jd_seat_record_t second[] = { { names[3], names[3] } };
   jd_cell_record_t cells[] = { { names[0], names[0], JD_ROLE_ENTRY, first, 3 },
                                { names[1], names[0], JD_ROLE_ENTRY, second, 1 } };
   jd_fleet_record_t fleet = { .cells = cells, .cell_count = 2 };
@@ -80,6 +83,12 @@
   CU_ASSERT (!jd_platform_watch_is_watcher (&fleet, "s2", is_same_seat, NULL));
   CU_ASSERT (jd_platform_watch_is_watcher (&fleet, "s2", is_same_seat, names[0]));
   CU_ASSERT (!jd_platform_watch_is_watcher (&fleet, "s3", is_same_seat, names[0]));
+  jd_fleet_view_t *view = jd_fleet_view_new (&fleet, "s3");
+  CU_ASSERT_EQUAL (g_strv_length (view->seats), 1);
+  CU_ASSERT_EQUAL (g_strv_length (view->cells), 2);
+  CU_ASSERT_EQUAL (g_strv_length (view->brokers), 0);
+  CU_ASSERT_PTR_NULL (jd_fleet_view_new (&fleet, "s4"));
+  jd_fleet_view_free (view);
 }
 
 int
