test(limits): show the need of the clock contract, limit peers

Cause: the random run found a clock reading from before the receipt of a message in 1 of 60 seeds only, and every policy change moved that seed. Ruled out: more focused random conditions, nine variants with 0 or 1 of 60 seeds. Measured: unit_test_rate_limiter: with the old reading the late grant is admitted, with a new one it is not. Conclusion: a deterministic case replaces the random one for this mechanism; a process may be given a part of all peers, so that views do not grow with the fleet.

--- a/src/limits/rate_settings.c
+++ b/src/limits/rate_settings.c
@@ -21,6 +21,7 @@
     .ask_burst = 48,
     .even_out_divisor = 4,
     .shares_per_zone = 12,
+    .entries_per_zone = 3,
     .queue_limit = 256,
   };
 }
@@ -41,7 +42,8 @@
   if (settings->admission_wait_us < 0 || settings->demand_window_us <= 0 ||
       settings->retry_min_us <= 0 || settings->retry_max_us < settings->retry_min_us)
     return "waits and retry pauses must be positive and in order";
-  if (settings->shares_per_zone < 1 || settings->even_out_divisor < 1)
-    return "shares per zone and the divisor must be at least 1";
+  if (settings->shares_per_zone < 1 || settings->entries_per_zone < 1 ||
+      settings->even_out_divisor < 1)
+    return "shares per zone, entries per zone and the divisor must be at least 1";
   return NULL;
 }
--- a/src/limits/rate_settings.h
+++ b/src/limits/rate_settings.h
@@ -18,7 +18,8 @@
   uint32_t ask_burst;           /* Per organisation. */
   uint32_t even_out_divisor;    /* Differences under this part of the capacity stay. */
   uint32_t shares_per_zone;
-  uint32_t queue_limit; /* Waiting requests per organisation. */
+  uint32_t entries_per_zone; /* About; for what a peer is assumed to own. */
+  uint32_t queue_limit;      /* Waiting requests per organisation. */
 } jd_rate_settings_t;
 
 jd_rate_settings_t jd_rate_settings_default (void);
--- a/src/limits/token_exchange.c
+++ b/src/limits/token_exchange.c
@@ -90,9 +90,7 @@
 jd_token_exchange_set_rate (jd_token_exchange_t *exchange, const jd_token_peers_t *peers,
                             jd_share_rate_t share)
 {
-  int64_t entries = 1;
-  for (uint32_t i = 0; i < peers->count; i++)
-    entries += peers->items[i].same_zone;
+  int64_t entries = exchange->settings->entries_per_zone;
   int64_t shares = exchange->settings->shares_per_zone;
   exchange->mean_capacity = share.burst * shares / entries;
   for (uint32_t i = 0; i < exchange->peer_count; i++)
@@ -252,7 +250,7 @@
     return -1;
   int32_t best = -1;
   int64_t least = exchange->mean_capacity / exchange->settings->even_out_divisor / 2;
-  *amount = MAX (JD_MICROTOKENS, least) - 1;
+  *amount = MAX (MIN (JD_MICROTOKENS, exchange->mean_capacity / 4), least) - 1;
   for (uint32_t i = 0; i < exchange->peer_count; i++)
     {
       const jd_peer_view_t *view = &exchange->views[i];
--- a/test/random/test_rate_limit.c
+++ b/test/random/test_rate_limit.c
@@ -8,7 +8,7 @@
 
 #define RUN_US (20 * JD_US_PER_S)
 #define FIXED_SEEDS 12
-#define SEEDS_PER_MECHANISM 60
+#define SEEDS_PER_MECHANISM 40
 
 static const char *const fault_names[JD_FLEET_FAULTS] = {
   "nothing",
@@ -17,7 +17,6 @@
   "repeated grants are dropped",
   "takeover gap",
   "lease end",
-  "clock is read after receipt",
   "raises are delayed",
 };
 
@@ -105,12 +104,6 @@
       *trouble = (jd_fleet_trouble_t){ .slow = trouble->slow, .reconfigured = true };
       options->zones = 2;
     }
-  if (mechanism == JD_FLEET_CLOCK_READ_BEFORE_RECEIPT)
-    {
-      *trouble =
-          (jd_fleet_trouble_t){ .late = 0.5, .paused = 0.10, .longest_pause_us = 600000 };
-      settings->transfer_lifetime_us = log_between (rng, 30000, 100000);
-    }
 }
 
 /* Runs one seed; returns whether all bounds held. Sizes, limits and settings depend on
@@ -132,6 +125,7 @@
     .off = off,
   };
   options.settings.shares_per_zone = 6;
+  options.settings.entries_per_zone = options.seats_per_zone;
   options.trouble = random_trouble (&rng);
   options.settings.transfer_lifetime_us = log_between (&rng, 30000, 500000);
   for (uint32_t i = 0; i < options.organisation_count; i++)
@@ -179,8 +173,7 @@
 {
   for (int off = JD_FLEET_SOUND + 1; off < JD_FLEET_FAULTS; off++)
     {
-      /* Seeds 1 to 24 do not find this one. */
-      uint64_t seed = off == JD_FLEET_CLOCK_READ_BEFORE_RECEIPT ? 25 : 1;
+      uint64_t seed = 1;
       while (seed <= SEEDS_PER_MECHANISM && run_seed (seed, off, off, false))
         seed++;
       printf ("\n    without \"%s\": seed %d", fault_names[off], (int)seed);
--- a/test/support/rate_fleet.c
+++ b/test/support/rate_fleet.c
@@ -13,7 +13,7 @@
 #define LEARN_US 3000000
 #define PUBLISH_EVERY_US 9000000
 #define SHARES_MAX 64
-#define SEATS_MAX 64
+#define SEATS_MAX 256
 
 typedef enum event_kind
 {
@@ -245,39 +245,24 @@
                                      options->organisation_count);
 }
 
-/* Returns how many shares a process knows a seat to own. Leases are known within a zone
- * only. */
-static int32_t
-known_shares (const process_t *process, uint32_t seat)
-{
-  const jd_rate_fleet_t *fleet = process->fleet;
-  uint32_t zone = seat / fleet->options.seats_per_zone;
-  if (zone != process->seat / fleet->options.seats_per_zone)
-    return -1;
-  int32_t count = 0;
-  for (uint32_t i = 0; i < fleet->options.settings.shares_per_zone; i++)
-    {
-      int32_t owner = fleet->shares[zone][i].owner;
-      count += owner >= 0 && process_at (fleet, (uint32_t)owner)->seat == seat;
-    }
-  return count;
-}
-
-/* Tells a process its peers. */
+/* Tells a process its peers: the seats that follow its own position in each zone. */
 static void
 apply_peers (process_t *process, int64_t now_us)
 {
-  jd_rate_fleet_t *fleet = process->fleet;
-  uint32_t per_zone = fleet->options.seats_per_zone;
+  const jd_rate_fleet_options_t *options = &process->fleet->options;
+  uint32_t per_zone = options->seats_per_zone;
+  uint32_t zone = process->seat / per_zone;
+  uint32_t asked = options->peers_per_zone ? options->peers_per_zone : per_zone;
   jd_token_peer_t peers[SEATS_MAX] = { 0 };
   uint32_t count = 0;
-  for (uint32_t seat = 0; seat < seat_count (fleet); seat++)
+  for (uint32_t i = 0; i < options->zones * asked; i++)
     {
+      uint32_t seat = i / asked * per_zone + (process->seat + 1 + i % asked) % per_zone;
       if (seat == process->seat)
         continue;
       g_snprintf (peers[count].name, sizeof (peers[count].name), "%u", seat);
-      peers[count].owned_shares = known_shares (process, seat);
-      peers[count++].same_zone = seat / per_zone == process->seat / per_zone;
+      peers[count].owned_shares = -1;
+      peers[count++].same_zone = i / asked == zone;
     }
   jd_rate_limiter_set_peers (process->limiter, now_us, peers, count);
 }
@@ -394,7 +379,6 @@
   release_shares (fleet, process->seat / fleet->options.seats_per_zone);
   process->lease_end_us = process->read_at_us + LEASE_US + LEASE_US / 2000;
   uint32_t owned = settle_shares (process);
-  apply_peers (process, now_us);
   bool forever = fleet->options.off == JD_FLEET_LEASE_END_IGNORED;
   jd_rate_limiter_set_shares (process->limiter, now_us, owned,
                               forever ? INT64_MAX : now_us + LEASE_US);
@@ -524,17 +508,6 @@
 {
   jd_rate_fleet_t *fleet = process->fleet;
   event_t *interrupted = g_steal_pointer (&process->interrupted);
-  if (interrupted && fleet->options.off == JD_FLEET_CLOCK_READ_BEFORE_RECEIPT)
-    {
-      for (GList *link = process->backlog.head; link; link = link->next)
-        {
-          event_t *event = link->data;
-          if (event->kind != EVENT_ASK && event->kind != EVENT_GRANT)
-            continue;
-          hand_over (process, event, reading (process, process->interrupted_read_us));
-          event->kind = EVENT_TICK;
-        }
-    }
   if (interrupted)
     execute (process, interrupted, process->interrupted_read_us);
   g_free (interrupted);
--- a/test/support/rate_fleet.h
+++ b/test/support/rate_fleet.h
@@ -15,7 +15,6 @@
   JD_FLEET_GRANTS_CREDITED_TWICE,
   JD_FLEET_NO_TAKEOVER_GAP,
   JD_FLEET_LEASE_END_IGNORED,
-  JD_FLEET_CLOCK_READ_BEFORE_RECEIPT,
   JD_FLEET_RAISE_AT_ONCE,
   JD_FLEET_FAULTS,
 } jd_fleet_fault_t;
@@ -45,6 +44,7 @@
   uint64_t seed;
   uint32_t zones;
   uint32_t seats_per_zone;
+  uint32_t peers_per_zone; /* That a process asks; 0 for all. */
   uint32_t organisation_count;
   jd_fleet_organisation_t organisations[JD_FLEET_MAX_ORGANISATIONS];
   jd_rate_settings_t settings;
--- a/test/unit/test_rate_limiter.c
+++ b/test/unit/test_rate_limiter.c
@@ -156,6 +156,34 @@
   jd_rate_limiter_free (fixture.limiter);
 }
 
+/* Guards against the wrong order of receipt and clock reading (rate_limiter.h). The peer
+ * spends all at one time; a process that read its clock then, and paused, gets a grant of
+ * later tokens. Only with a new reading is that grant late. */
+static void
+clock_is_read_after_receipt (void)
+{
+  for (int fresh = 0; fresh < 2; fresh++)
+    {
+      const int64_t read_us = JD_US_PER_S;
+      const int64_t later_us = read_us + 500000;
+      fixture_t peer;
+      fixture_t paused;
+      start (&peer);
+      start (&paused);
+      jd_rate_limiter_set_shares (paused.limiter, read_us, 0, read_us);
+      CU_ASSERT_EQUAL (request (&peer, "a", read_us, 12), 12);
+      request (&paused, "a", read_us, 12);
+      jd_rate_limiter_on_token_ask (peer.limiter, "p", &paused.ask);
+      jd_rate_limiter_tick (peer.limiter, later_us);
+      CU_ASSERT (peer.grant.amount_microtokens >= JD_MICROTOKENS);
+      jd_rate_limiter_on_token_grant (paused.limiter, "peer", &peer.grant);
+      jd_rate_limiter_tick (paused.limiter, fresh ? later_us : read_us);
+      CU_ASSERT_EQUAL (paused.admitted == 0, fresh);
+      jd_rate_limiter_free (peer.limiter);
+      jd_rate_limiter_free (paused.limiter);
+    }
+}
+
 int
 main (void)
 {
@@ -163,6 +191,7 @@
     { "flood stays with its organisation", flood_stays_with_its_organisation },
     { "grant is credited once and in time", grant_is_credited_once_and_in_time },
     { "lease end discards tokens", lease_end_discards_tokens },
+    { "clock is read after receipt", clock_is_read_after_receipt },
   };
   return JD_TEST_RUN ("rate_limiter", cases);
 }
