--- a/bench/bench_rate.c
+++ b/bench/bench_rate.c
@@ -1,10 +1,10 @@
 #include <stdio.h>
 
 #include "base/clock.h"
+#include "rate/growth.h"
 #include "rate/schemes.h"
-#include "support/rate_history.h"
-
 #include "limits/token_defs.h"
+#include "support/rate_history.h"
 
 #define SEEDS 3
 #define FROM_US (8 * JD_US_PER_S) /* The buckets are full by then. */
@@ -147,16 +147,26 @@
     }
 }
 
-/* Prints the table. With the argument `chosen` only the chosen scheme runs. */
+/* Prints the tables. Other schemes are shown for the burst of 2 s only; the argument
+ * `all` shows them for all bursts, `chosen` for none, `growth` prints the second table
+ * only. */
 int
 main (int argc, char **argv)
 {
   bench_scheme_t first =
       argc > 1 && g_str_equal (argv[1], "chosen") ? BENCH_CHOSEN : BENCH_STATIC;
+  bool all = argc > 1 && g_str_equal (argv[1], "all");
+  if (argc > 1 && g_str_equal (argv[1], "growth"))
+    {
+      bench_print_growth ();
+      return 0;
+    }
   const bench_site_t sites[] = {
     { "signfold", 500, { 400, 300, 40, 40, 40, 40, 20, 20 }, 2.0 },
+    { "signfold", 500, { 400, 300, 40, 40, 40, 40, 20, 20 }, 1.0 },
     { "signfold", 500, { 400, 300, 40, 40, 40, 40, 20, 20 }, 0.5 },
     { "lamplight", 1000, { 300, 200, 30, 30, 30, 30, 20, 20 }, 2.0 },
+    { "lamplight", 1000, { 300, 200, 30, 30, 30, 30, 20, 20 }, 1.0 },
     { "lamplight", 1000, { 300, 200, 30, 30, 30, 30, 20, 20 }, 0.5 },
   };
   printf (
@@ -167,6 +177,7 @@
           "case", "load", "demand", "entry", "scheme", "refused", "worst", "excess",
           "msg/s", "bytes/s");
   for (unsigned i = 0; i < G_N_ELEMENTS (sites); i++)
-    print_site (&sites[i], first);
+    print_site (&sites[i], sites[i].burst_s < 2 && !all ? BENCH_CHOSEN : first);
+  bench_print_growth ();
   return 0;
 }
--- /dev/null
+++ b/bench/rate/growth.c
@@ -0,0 +1,103 @@
+#include "rate/growth.h"
+
+#include <math.h>
+#include <stdio.h>
+
+#include "base/clock.h"
+#include "support/rate_fleet.h"
+
+#define ORGANISATIONS 8
+#define REQUESTS_PER_ENTRY 110.0 /* Per second at load 1; as today. */
+#define FROM_US (3 * JD_US_PER_S)
+#define UNTIL_US (9 * JD_US_PER_S)
+#define MESSAGE_BYTES 100
+
+typedef struct growth
+{
+  uint64_t requests;
+  uint64_t refused;
+} growth_t;
+
+/* Callback of the fleet. */
+static void
+count_decision (void *context, uint64_t request_id, bool admitted, int64_t at_us)
+{
+  growth_t *growth = context;
+  growth->requests++;
+  growth->refused += !admitted;
+}
+
+/* Fills in a fleet whose rates grow with its entries; two organisations are large. */
+static void
+fill_options (jd_rate_fleet_options_t *options, uint32_t entries)
+{
+  const double parts[ORGANISATIONS] = { 0.45, 0.3, 0.05, 0.05, 0.05, 0.04, 0.03, 0.03 };
+  options->seats_per_zone = entries / options->zones;
+  options->settings.entries_per_zone = options->seats_per_zone;
+  options->settings.shares_per_zone = MAX (12, options->seats_per_zone);
+  for (uint32_t i = 0; i < ORGANISATIONS; i++)
+    {
+      double rate = REQUESTS_PER_ENTRY * entries * parts[i];
+      options->organisations[i] = (jd_fleet_organisation_t){ rate, 2 * rate };
+    }
+}
+
+/* Schedules Poisson arrivals at random entries. */
+static void
+schedule_requests (jd_rate_fleet_t *fleet, const jd_rate_fleet_options_t *options,
+                   double load)
+{
+  uint32_t entries = options->zones * options->seats_per_zone;
+  uint64_t id = 0;
+  for (uint32_t i = 0; i < ORGANISATIONS; i++)
+    {
+      jd_philox_t philox = { .seed = options->seed, .stream = i };
+      jd_rng_t rng = jd_philox_rng (&philox);
+      double mean_us = 1e6 / (options->organisations[i].rate_per_s * load);
+      int64_t at_us = FROM_US;
+      while (at_us < UNTIL_US)
+        {
+          uint32_t entry = (uint32_t)jd_rng_below (&rng, entries);
+          jd_rate_fleet_request (fleet, at_us, entry, i, ++id);
+          at_us += (int64_t)(-mean_us * log (1.0 - jd_rng_unit (&rng))) + 1;
+        }
+    }
+}
+
+/* Prints token messages per entry for growing fleets: 5 zones, 8 organisations, each
+ * entry asks 3 peers per zone at most. */
+void
+bench_print_growth (void)
+{
+  printf ("%7s %5s %7s %9s %8s %8s\n", "entries", "load", "peers", "refused", "msg/s",
+          "bytes/s");
+  const uint32_t sizes[] = { 15, 30, 60, 120, 240 };
+  const double loads[] = { 0.8, 0.95 };
+  for (unsigned i = 0; i < G_N_ELEMENTS (sizes) * G_N_ELEMENTS (loads); i++)
+    {
+      uint32_t entries = sizes[i / G_N_ELEMENTS (loads)];
+      double load = loads[i % G_N_ELEMENTS (loads)];
+      growth_t growth = { 0 };
+      jd_rate_fleet_options_t options = { .seed = 1,
+                                          .zones = 5,
+                                          .peers_per_zone = 3,
+                                          .organisation_count = ORGANISATIONS,
+                                          .settings = jd_rate_settings_default (),
+                                          .one_way_us = 1000,
+                                          .takeover_gap_us = 1400000,
+                                          .drift_ppm = 300,
+                                          .decided = count_decision,
+                                          .context = &growth };
+      fill_options (&options, entries);
+      jd_rate_fleet_t *fleet = jd_rate_fleet_new (&options);
+      schedule_requests (fleet, &options, load);
+      jd_rate_fleet_run (fleet, UNTIL_US);
+      double messages =
+          (double)jd_rate_fleet_messages (fleet) / entries / ((UNTIL_US - FROM_US) / 1e6);
+      printf ("%7u %4.0f%% %7u %8.3f%% %8.1f %8.0f\n", entries, load * 100,
+              options.zones * options.peers_per_zone - 1,
+              100.0 * (double)growth.refused / (double)growth.requests, messages,
+              messages * MESSAGE_BYTES);
+      jd_rate_fleet_free (fleet);
+    }
+}
--- a/src/limits/rate_limiter.c
+++ b/src/limits/rate_limiter.c
@@ -104,6 +104,17 @@
                               limiter->now_us);
 }
 
+/* Withdraws an organisation that is no longer published. Its state stays while granted
+ * tokens are in flight; returns whether it may be removed. */
+static bool
+withdraw (jd_rate_limiter_t *limiter, jd_organisation_limit_t *organisation)
+{
+  refuse_waiting (limiter, organisation);
+  jd_rate_share_set_rate (&organisation->share, limiter->now_us, (jd_share_rate_t){ 0 },
+                          limiter->settings.raise_delay_us);
+  return organisation->share.sent.count == 0;
+}
+
 /* Replaces the published organisations. Reductions are in force at once, raises after
  * raise_delay_us, removed organisations get no more work. */
 void
@@ -128,9 +139,8 @@
   for (uint32_t i = limiter->organisations->len; i > 0; i--)
     {
       jd_organisation_limit_t *organisation = organisation_at (limiter, i - 1);
-      if (organisation->published)
+      if (organisation->published || !withdraw (limiter, organisation))
         continue;
-      refuse_waiting (limiter, organisation);
       g_hash_table_remove (limiter->by_name, organisation->name);
       g_ptr_array_remove_index (limiter->organisations, i - 1);
     }
@@ -239,7 +249,7 @@
 {
   now_us = enter (limiter, now_us);
   jd_organisation_limit_t *known = g_hash_table_lookup (limiter->by_name, organisation);
-  if (!known)
+  if (!known || !known->published)
     return JD_ADMISSION_REFUSED;
   jd_admission_t result =
       jd_organisation_limit_request (known, now_us, request_id, deadline_us);
--- a/test/unit/test_rate_limiter.c
+++ b/test/unit/test_rate_limiter.c
@@ -133,8 +133,8 @@
   jd_rate_limiter_free (fixture.limiter);
 }
 
-/* Guards against tokens that are used or given after the lease, and against announcing
- * the release while granted tokens are in flight. */
+/* Guards against tokens that are used or given after the lease or the withdrawal of an
+ * organisation, and against forgetting granted tokens that are in flight. */
 static void
 lease_end_discards_tokens (void)
 {
@@ -148,6 +148,9 @@
   CU_ASSERT_EQUAL (fixture.grant.nonce, 7);
   CU_ASSERT_EQUAL (fixture.grant.echoed_asked_at_us, 123);
   CU_ASSERT (jd_rate_limiter_release_at_us (fixture.limiter) > JD_US_PER_S + 40000);
+  jd_rate_limiter_set_organisations (fixture.limiter, JD_US_PER_S, NULL, 0);
+  CU_ASSERT_EQUAL (request (&fixture, "a", JD_US_PER_S, 1), 0);
+  CU_ASSERT (jd_rate_limiter_release_at_us (fixture.limiter) > JD_US_PER_S + 40000);
   jd_rate_limiter_on_token_ask (fixture.limiter, "peer", &ask);
   jd_rate_limiter_tick (fixture.limiter, 2 * JD_US_PER_S + 1);
   CU_ASSERT_EQUAL (fixture.grant.amount_microtokens, 0);
