feat(node): exchange records between processes

Cause: every process watched the platform, which grows with the fleet, and a process cut off from the platform got no new versions. Ruled out: a confirmation from any platform answer; a stale replica would confirm old keys.

--- a/src/daemons/node.c
+++ b/src/daemons/node.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/log_event.h"
-#include "daemons/platform_feed.h"
+#include "daemons/node_records.h"
 
 /* Most cells of one role in one zone that a node looks at. */
 #define MAX_CELLS 256
@@ -21,13 +21,12 @@
   jd_philox_t random;
   uint64_t incarnation;
   jd_peer_link_t *link;
-  jd_platform_feed_t *feed; /* NULL without a platform. */
+  jd_node_records_t *records;
   jd_fleet_record_t *fleet; /* NULL until one is in force. */
   jd_lease_t *lease;        /* NULL until the own seat is listed. */
   jd_ownership_t *ownership;
   GPtrArray *witnesses; /* witness_t */
   gboolean lease_was_held;
-  _Atomic int64_t confirmed_us; /* -1: never. */
 };
 
 /* Returns the time of the node's clock. */
@@ -65,11 +64,12 @@
   return node->fleet;
 }
 
-/* Returns whether the published fleet has the own seat in its cell. */
+/* Returns whether the published fleet has the own seat in its cell and the records are
+ * known to be the newest. */
 gboolean
 jd_node_is_listed (const jd_node_t *node)
 {
-  return node->lease != NULL;
+  return node->lease && jd_node_records_is_joined (node->records);
 }
 
 /* Returns the address of a seat, or NULL. */
@@ -263,6 +263,7 @@
     jd_fleet_record_unref (node->fleet);
   node->fleet = fleet;
   apply_witnesses (node);
+  jd_node_records_set_fleet (node->records, fleet);
   const jd_cell_record_t *cell = own_cell (node);
   if (!cell)
     return;
@@ -278,59 +279,32 @@
   apply_cells (node);
 }
 
-/* Offers a record to the store, logs the outcome, and tells the daemon about a new
- * version. */
+/* Record callback: a fleet concerns the node itself first. */
 static void
-offer_record (jd_node_t *node, const char *source, const char *name, const char *text,
-              size_t length)
-{
-  GError *error = NULL;
-  jd_adoption_t adoption =
-      jd_config_store_offer (node->options.store, name, text, length, &error);
-  if (adoption == JD_ADOPTION_ADOPTED)
-    {
-      jd_log_event (G_LOG_LEVEL_INFO, "record_adopted",
-                    "record=%s version=%" G_GUINT64_FORMAT " source=%s", name,
-                    (guint64)jd_config_store_version (node->options.store, name), source);
-      if (strcmp (name, "fleet") == 0)
-        apply_fleet (node);
-      node->options.callbacks.on_record (node->options.callbacks.context, name);
-    }
-  else if (adoption == JD_ADOPTION_INVALID || adoption == JD_ADOPTION_CONFLICT)
-    {
-      char *reason =
-          jd_log_quote (error ? error->message : "same version, other content");
-      jd_log_event (G_LOG_LEVEL_CRITICAL, "record_refused",
-                    "record=%s source=%s reason=%s", name, source, reason);
-      g_free (reason);
-    }
-  g_clear_error (&error);
-}
-
-/* Record callback of the platform feed. */
-static void
-on_platform_record (void *context, const char *name, const char *text, size_t length)
-{
-  offer_record (context, "platform", name, text, length);
-}
-
-/* Confirmation callback of the platform feed. */
-static void
-on_platform_confirmed (void *context, int64_t sent_us)
+on_record (void *context, const char *name)
 {
   jd_node_t *node = context;
-  node->confirmed_us = sent_us;
+  if (strcmp (name, "fleet") == 0)
+    apply_fleet (node);
+  node->options.callbacks.on_record (node->options.callbacks.context, name);
 }
 
-/* Host list callback of the platform feed. */
-static void
-on_platform_hosts (void *context, const char *text, size_t length)
+/* Returns whether a seat of the own cell is dead or has released its work. */
+static gboolean
+is_gone (void *context, const char *seat)
 {
+  const jd_node_t *node = context;
+  for (uint32_t i = 0; node->lease && i < jd_lease_seat_count (node->lease); i++)
+    {
+      if (strcmp (jd_lease_seat_name (node->lease, i), seat) == 0)
+        return jd_lease_gone_until_us (node->lease, i) > jd_node_now_us (node);
+    }
+  return FALSE;
 }
 
-/* Wake callback of the platform feed. */
+/* Wake callback of the records; runs in another thread. */
 static void
-wake_from_feed (void *context)
+wake_from_records (void *context)
 {
   jd_node_wake (context);
 }
@@ -370,27 +344,33 @@
       take_ack (node, &message->heartbeat_ack);
       break;
     default:
-      node->options.callbacks.on_message (node->options.callbacks.context, origin,
-                                          message);
+      if (!jd_node_records_on_message (node->records, origin, message))
+        node->options.callbacks.on_message (node->options.callbacks.context, origin,
+                                            message);
       break;
     }
 }
 
-/* Connects to the platform. */
-static void
-start_feed (jd_node_t *node)
+/* Starts to read and exchange records. */
+static jd_node_records_t *
+new_records (jd_node_t *node)
 {
-  jd_platform_feed_options_t options = {
-    .url = node->options.platform_url,
+  const jd_node_records_options_t options = {
+    .own_address = node->options.peer_address,
+    .bootstrap_peers = node->options.bootstrap_peers,
+    .platform_url = node->options.platform_url,
+    .seat = node->options.seat,
     .clock = node->options.clock,
+    .rng = jd_philox_rng (&node->random),
     .counters = node->options.counters,
-    .wake = wake_from_feed,
-    .on_record = on_platform_record,
-    .on_confirmed = on_platform_confirmed,
-    .on_hosts = on_platform_hosts,
+    .store = node->options.store,
+    .link = node->link,
+    .wake = wake_from_records,
+    .on_record = on_record,
+    .is_gone = is_gone,
     .context = node,
   };
-  node->feed = jd_platform_feed_new (&options);
+  return jd_node_records_new (&options);
 }
 
 /* Binds the own address and starts to read the platform. */
@@ -403,7 +383,6 @@
   /* Wall-clock microseconds, so that later runs have higher numbers. The last bits are
    * random: two processes of one seat that start together still differ. */
   node->incarnation = ((uint64_t)jd_wall_time_us () << 8) | (jd_entropy () & 0xff);
-  node->confirmed_us = -1;
   node->witnesses = g_ptr_array_new_with_free_func (free_witness);
   jd_peer_link_options_t link = {
     .seat = options->seat,
@@ -418,8 +397,7 @@
       g_free (node);
       return NULL;
     }
-  if (options->platform_url)
-    start_feed (node);
+  node->records = new_records (node);
   return node;
 }
 
@@ -429,7 +407,7 @@
 {
   if (!node)
     return;
-  jd_platform_feed_free (node->feed);
+  jd_node_records_free (node->records);
   jd_ownership_free (node->ownership);
   jd_lease_free (node->lease);
   g_ptr_array_free (node->witnesses, TRUE);
@@ -468,8 +446,7 @@
 jd_node_poll (jd_node_t *node, int timeout_ms)
 {
   jd_peer_link_poll (node->link, limit_timeout_ms (node, timeout_ms));
-  if (node->feed)
-    jd_platform_feed_drain (node->feed);
+  jd_node_records_tick (node->records);
   if (!node->lease)
     return;
   int64_t now_us = jd_node_now_us (node);
@@ -519,8 +496,7 @@
 int64_t
 jd_node_platform_age_us (jd_node_t *node)
 {
-  int64_t confirmed_us = node->confirmed_us;
-  return confirmed_us < 0 ? -1 : jd_node_now_us (node) - confirmed_us;
+  return jd_node_records_age_us (node->records);
 }
 
 /* Appends what this seat knows of the seats of its cell. */
--- /dev/null
+++ b/src/daemons/node_records.c
@@ -0,0 +1,320 @@
+#include "daemons/node_records.h"
+
+#include <string.h>
+
+#include "base/log_event.h"
+#include "daemons/platform_feed.h"
+#include "membership/config_gossip.h"
+
+/* A platform that has not answered by then does not hold up the start any longer. */
+#define PLATFORM_ANSWER_US (2 * JD_US_PER_S)
+/* Watchers are chosen again when seats come and go. */
+#define WATCH_CHECK_US JD_US_PER_S
+#define KEYS_RECORD "keys"
+
+struct jd_node_records
+{
+  jd_node_records_options_t options;
+  jd_platform_feed_t *feed; /* NULL without a platform. */
+  jd_config_gossip_t *gossip;
+  jd_fleet_record_t *fleet; /* NULL until one is in force. */
+  GHashTable *announced;    /* record -> version that on_record was called with */
+  uint64_t platform_keys;   /* Version of the keys that the platform has, 0: unknown. */
+  int64_t started_us;
+  int64_t watch_checked_us;
+  gboolean platform_answered;
+  gboolean watching;
+  _Atomic int64_t confirmed_us; /* -1: never. */
+};
+
+/* Returns the time. */
+static int64_t
+now_us (const jd_node_records_t *records)
+{
+  return jd_clock_now_us (&records->options.clock);
+}
+
+/* Sends a gossip message along its route. A lost one is made up for by a later
+ * exchange. */
+static void
+send_along (jd_node_records_t *records, const jd_gossip_route_t *to,
+            const jd_message_t *message)
+{
+  if (to->address)
+    jd_peer_link_send (records->options.link, to->address, message);
+  else
+    jd_peer_link_reply (records->options.link, to->origin, message);
+}
+
+/* Digest hook of the gossip. */
+static void
+send_digest (void *context, const jd_gossip_route_t *to, const jd_digest_t *digest)
+{
+  jd_message_t message = { .type = JD_MESSAGE_DIGEST, .digest = *digest };
+  send_along (context, to, &message);
+}
+
+/* Push hook of the gossip. */
+static void
+send_push (void *context, const jd_gossip_route_t *to, const jd_record_push_t *push)
+{
+  jd_message_t message = { .type = JD_MESSAGE_RECORD_PUSH, .record_push = *push };
+  send_along (context, to, &message);
+}
+
+/* Ask hook of the gossip. */
+static void
+send_ask (void *context, const jd_gossip_route_t *to, const jd_record_ask_t *ask)
+{
+  jd_message_t message = { .type = JD_MESSAGE_RECORD_ASK, .record_ask = *ask };
+  send_along (context, to, &message);
+}
+
+/* Fetch hook of the gossip. The platform client reads every listed record by itself. */
+static void
+fetch (void *context, const char *record)
+{
+}
+
+/* Tells the daemon about each record that has a new version in force. */
+static void
+announce_changes (jd_node_records_t *records)
+{
+  char **names = jd_config_store_names (records->options.store);
+  for (char **name = names; *name; name++)
+    {
+      uint64_t version = jd_config_store_version (records->options.store, *name);
+      uint64_t *announced = g_hash_table_lookup (records->announced, *name);
+      if (announced && *announced == version)
+        continue;
+      g_hash_table_insert (records->announced, g_strdup (*name),
+                           g_memdup2 (&version, sizeof (version)));
+      records->options.on_record (records->options.context, *name);
+    }
+  g_strfreev (names);
+}
+
+/* Record callback of the platform feed. Notes which keys the platform has, because a
+ * stale replica must not confirm ours. */
+static void
+on_platform_record (void *context, const char *name, const char *text, size_t length)
+{
+  jd_node_records_t *records = context;
+  GError *error = NULL;
+  jd_adoption_t adoption = jd_config_gossip_on_record (records->gossip, name, text,
+                                                       length, now_us (records), &error);
+  g_clear_error (&error);
+  if (strcmp (name, KEYS_RECORD) == 0)
+    {
+      gboolean current =
+          adoption == JD_ADOPTION_ADOPTED || adoption == JD_ADOPTION_CURRENT;
+      records->platform_keys =
+          current ? jd_config_store_version (records->options.store, name) : 0;
+    }
+}
+
+/* Confirmation callback of the platform feed. */
+static void
+on_platform_confirmed (void *context, int64_t sent_us)
+{
+  jd_node_records_t *records = context;
+  const jd_digest_entry_t keys = { .record = KEYS_RECORD,
+                                   .version = records->platform_keys };
+  records->platform_answered = TRUE;
+  jd_config_gossip_on_listing (records->gossip, &keys, records->platform_keys ? 1 : 0,
+                               sent_us, now_us (records));
+}
+
+/* Host list callback of the platform feed. */
+static void
+on_platform_hosts (void *context, const char *text, size_t length)
+{
+}
+
+/* Connects to the platform. Every process reads all records once; later only the
+ * watchers do. */
+static void
+start_feed (jd_node_records_t *records)
+{
+  const jd_node_records_options_t *options = &records->options;
+  const jd_platform_feed_options_t feed = {
+    .url = options->platform_url,
+    .clock = options->clock,
+    .counters = options->counters,
+    .wake = options->wake,
+    .wake_context = options->context,
+    .on_record = on_platform_record,
+    .on_confirmed = on_platform_confirmed,
+    .on_hosts = on_platform_hosts,
+    .context = records,
+  };
+  records->watching = TRUE;
+  records->feed = jd_platform_feed_new (&feed);
+}
+
+/* Gives the gossip the addresses of the settings. */
+static void
+set_bootstrap_peers (jd_node_records_t *records)
+{
+  if (!records->options.bootstrap_peers)
+    return;
+  char **addresses = g_strsplit (records->options.bootstrap_peers, ",", -1);
+  jd_config_gossip_set_peers (records->gossip, (const char *const *)addresses,
+                              g_strv_length (addresses));
+  g_strfreev (addresses);
+}
+
+/* Starts to read the platform and to exchange records with the bootstrap peers. */
+jd_node_records_t *
+jd_node_records_new (const jd_node_records_options_t *options)
+{
+  jd_node_records_t *records = g_new0 (jd_node_records_t, 1);
+  records->options = *options;
+  records->announced = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  records->confirmed_us = -1;
+  records->started_us = now_us (records);
+  const jd_gossip_options_t gossip = {
+    .store = options->store,
+    .own_address = options->own_address,
+    .rng = options->rng,
+    .settings = jd_gossip_settings_default (),
+    .hooks = { .send_digest = send_digest,
+               .send_push = send_push,
+               .send_ask = send_ask,
+               .fetch = fetch,
+               .context = records },
+  };
+  records->gossip = jd_config_gossip_new (&gossip, records->started_us);
+  set_bootstrap_peers (records);
+  if (options->platform_url)
+    start_feed (records);
+  else
+    jd_config_gossip_on_platform_failure (records->gossip, records->started_us);
+  return records;
+}
+
+/* Stops reading; NULL is allowed. */
+void
+jd_node_records_free (jd_node_records_t *records)
+{
+  if (!records)
+    return;
+  jd_platform_feed_free (records->feed);
+  jd_config_gossip_free (records->gossip);
+  g_hash_table_destroy (records->announced);
+  jd_fleet_record_unref (records->fleet);
+  g_free (records);
+}
+
+/* Takes the messages of the gossip. */
+gboolean
+jd_node_records_on_message (jd_node_records_t *records, const jd_peer_origin_t *origin,
+                            const jd_message_t *message)
+{
+  /* On the own DEALER a peer answers; a message on the ROUTER is answered there. */
+  const jd_gossip_route_t from = { .address = *origin->address ? origin->address : NULL,
+                                   .origin = origin };
+  int64_t time_us = now_us (records);
+  switch (message->type)
+    {
+    case JD_MESSAGE_DIGEST:
+      jd_config_gossip_on_digest (records->gossip, &from, &message->digest, time_us);
+      break;
+    case JD_MESSAGE_RECORD_PUSH:
+      jd_config_gossip_on_push (records->gossip, &message->record_push, time_us);
+      break;
+    case JD_MESSAGE_RECORD_ASK:
+      jd_config_gossip_on_ask (records->gossip, &from, &message->record_ask);
+      break;
+    default:
+      return FALSE;
+    }
+  return TRUE;
+}
+
+/* Takes a fleet. */
+void
+jd_node_records_set_fleet (jd_node_records_t *records, const jd_fleet_record_t *fleet)
+{
+  jd_fleet_record_unref (records->fleet);
+  records->fleet = jd_fleet_record_ref ((jd_fleet_record_t *)fleet);
+  GPtrArray *addresses = g_ptr_array_new ();
+  for (uint32_t i = 0; i < fleet->cell_count; i++)
+    {
+      const jd_cell_record_t *cell = &fleet->cells[i];
+      for (uint32_t j = 0; j < cell->seat_count; j++)
+        {
+          if (!cell->seats[j].witness)
+            g_ptr_array_add (addresses, cell->seats[j].address);
+        }
+    }
+  jd_config_gossip_set_peers (records->gossip, (const char *const *)addresses->pdata,
+                              addresses->len);
+  g_ptr_array_free (addresses, TRUE);
+}
+
+/* Lets the platform be watched by the chosen seats, and by any process that has not
+ * heard a confirmation for long. */
+static void
+choose_watching (jd_node_records_t *records, int64_t time_us)
+{
+  if (!records->feed || !records->fleet || !records->platform_answered ||
+      time_us - records->watch_checked_us < WATCH_CHECK_US)
+    return;
+  records->watch_checked_us = time_us;
+  gboolean watching =
+      jd_platform_watch_is_watcher (records->fleet, records->options.seat,
+                                    records->options.is_gone, records->options.context);
+  watching = watching || jd_config_gossip_should_poll (records->gossip, time_us);
+  if (watching == records->watching)
+    return;
+  records->watching = watching;
+  jd_platform_feed_set_watching (records->feed, watching);
+  jd_log_event (G_LOG_LEVEL_INFO, "platform_watch", "watching=%d", watching);
+}
+
+/* Publishes the age of the keys to other threads. */
+static void
+publish_age (jd_node_records_t *records, int64_t time_us)
+{
+  int64_t age_us = jd_config_gossip_platform_age_us (records->gossip, time_us);
+  records->confirmed_us = age_us == JD_PLATFORM_AGE_NEVER ? -1 : time_us - age_us;
+}
+
+/* Takes what the platform has sent and exchanges records when it is time. */
+void
+jd_node_records_tick (jd_node_records_t *records)
+{
+  if (records->feed)
+    jd_platform_feed_drain (records->feed);
+  int64_t time_us = now_us (records);
+  if (records->feed && !records->platform_answered &&
+      time_us - records->started_us >= PLATFORM_ANSWER_US)
+    jd_config_gossip_on_platform_failure (records->gossip, time_us);
+  jd_config_gossip_tick (records->gossip, time_us);
+  choose_watching (records, time_us);
+  publish_age (records, time_us);
+  announce_changes (records);
+}
+
+/* Returns when the gossip is due. */
+int64_t
+jd_node_records_next_tick_us (const jd_node_records_t *records)
+{
+  return jd_config_gossip_next_tick_us (records->gossip);
+}
+
+/* Returns whether the process has heard enough to serve. */
+gboolean
+jd_node_records_is_joined (const jd_node_records_t *records)
+{
+  return jd_config_gossip_is_joined (records->gossip);
+}
+
+/* Returns the age of the last confirmation of the keys. */
+int64_t
+jd_node_records_age_us (jd_node_records_t *records)
+{
+  int64_t confirmed_us = records->confirmed_us;
+  return confirmed_us < 0 ? -1 : now_us (records) - confirmed_us;
+}
--- a/src/daemons/platform_feed.c
+++ b/src/daemons/platform_feed.c
@@ -40,7 +40,7 @@
 push (jd_platform_feed_t *feed, feed_item_t item)
 {
   g_async_queue_push (feed->items, g_memdup2 (&item, sizeof (item)));
-  feed->options.wake (feed->options.context);
+  feed->options.wake (feed->options.wake_context);
 }
 
 /* Record callback of the platform client. */
--- a/src/daemons/platform_feed.h
+++ b/src/daemons/platform_feed.h
@@ -12,7 +12,8 @@
   jd_clock_t clock;
   jd_counters_t *counters;
   /* Called in the client's thread when jd_platform_feed_drain has something to do. */
-  void (*wake) (void *context);
+  void (*wake) (void *wake_context);
+  void *wake_context;
   /* Called by jd_platform_feed_drain. */
   void (*on_record) (void *context, const char *name, const char *text, size_t length);
   void (*on_confirmed) (void *context, int64_t sent_us);
