--- a/test/process/test_broker_daemon.c
+++ b/test/process/test_broker_daemon.c
@@ -182,6 +182,41 @@
   jd_lab_stop (&lab);
 }
 
+/* Guards against a handover that waits as long as for a killed broker (2,200 ms), and
+ * against edits that run twice or in spite of a refusal while the owner changes. */
+static void
+released_targets_are_taken_over_soon (void)
+{
+  static jd_lab_t lab;
+  CU_ASSERT_FATAL (jd_lab_start (&lab, 3));
+  int before = jd_lab_owner (&lab, 0);
+  int64_t gap_start_us = 0;
+  int64_t gap_us = -1;
+  kill (lab.brokers[before], SIGTERM);
+  for (int i = 0; i < 800 && gap_us < 0; i++)
+    {
+      int owner = jd_lab_owner (&lab, 0);
+      if (owner < 0 && gap_start_us == 0)
+        gap_start_us = g_get_monotonic_time ();
+      if (owner >= 0 && owner != before)
+        gap_us = g_get_monotonic_time () - gap_start_us;
+      if (owner >= 0)
+        jd_lab_send (&lab, (uint32_t)owner, 0, JD_WORK_EDIT, 200);
+      jd_lab_run (&lab, 5);
+    }
+  CU_ASSERT (gap_us >= 0 && gap_us < 2200 * JD_US_PER_MS);
+  g_print ("gap %d ms ", (int)(gap_us / JD_US_PER_MS));
+  jd_lab_run (&lab, 400);
+  CU_ASSERT_EQUAL (jd_child_wait (lab.brokers[before], 3000), 0);
+  lab.brokers[before] = 0;
+  for (uint64_t id = 1; id <= lab.work_count; id++)
+    {
+      CU_ASSERT (lab.work[id].has_ended && lab.work[id].ran != JD_RAN_UNKNOWN);
+      check_work (&lab, id);
+    }
+  jd_lab_stop (&lab);
+}
+
 int
 main (void)
 {
@@ -191,6 +226,7 @@
     { "silent connections are replaced", silent_connections_are_replaced },
     { "foreign work is refused", foreign_work_is_refused },
     { "killed broker is replaced", killed_broker_is_replaced },
+    { "released targets are taken over soon", released_targets_are_taken_over_soon },
   };
   return JD_TEST_RUN ("broker_daemon", cases);
 }
--- a/test/support/broker_lab.c
+++ b/test/support/broker_lab.c
@@ -103,8 +103,8 @@
 }
 
 /* Starts one broker process. */
-static void
-start_broker (jd_lab_t *lab, uint32_t broker)
+void
+jd_lab_restart (jd_lab_t *lab, uint32_t broker)
 {
   char *arguments[] = {
     g_strdup_printf ("--seat=b%u", broker),
@@ -164,7 +164,7 @@
     }
   publish_all (lab);
   for (uint32_t i = 0; i < broker_count; i++)
-    start_broker (lab, i);
+    jd_lab_restart (lab, i);
   for (int i = 0; i < 1000; i++)
     {
       jd_lab_run (lab, 10);
