--- a/test/support/broker_lab.c
+++ b/test/support/broker_lab.c
@@ -64,8 +64,8 @@
 }
 
 /* Publishes a record. */
-static void
-publish (const jd_lab_t *lab, const char *name, const char *text)
+void
+jd_lab_publish (const jd_lab_t *lab, const char *name, const char *text)
 {
   char *url = g_strdup_printf ("http://127.0.0.1:%u/v1/records/%s",
                                jd_platform_port (lab->platform), name);
@@ -86,7 +86,7 @@
     g_string_append_printf (fleet, "%s{\"name\":\"b%u\",\"address\":\"%s\"}",
                             i ? "," : "", i, lab->addresses[i]);
   g_string_append (fleet, "]}]}");
-  publish (lab, "fleet", fleet->str);
+  jd_lab_publish (lab, "fleet", fleet->str);
   g_string_assign (fleet,
                    "{\"schema_version\":1,\"record_version\":1,\"name\":\"desk\","
                    "\"kind\":\"fan_out\",\"open\":true,\"deadline_ms\":60,\"slots\":2,"
@@ -98,13 +98,13 @@
                             "\"address\":\"127.0.0.1:%u\",\"zone\":\"a\"}]}",
                             i ? "," : "", i, i, jd_target_port (lab->targets[i]));
   g_string_append (fleet, "]}");
-  publish (lab, "service.desk", fleet->str);
+  jd_lab_publish (lab, "service.desk", fleet->str);
   g_string_free (fleet, TRUE);
 }
 
 /* Starts one broker process. */
-static void
-start_broker (jd_lab_t *lab, uint32_t broker)
+void
+jd_lab_restart (jd_lab_t *lab, uint32_t broker)
 {
   char *arguments[] = {
     g_strdup_printf ("--seat=b%u", broker),
@@ -164,7 +164,7 @@
     }
   publish_all (lab);
   for (uint32_t i = 0; i < broker_count; i++)
-    start_broker (lab, i);
+    jd_lab_restart (lab, i);
   for (int i = 0; i < 1000; i++)
     {
       jd_lab_run (lab, 10);
