feat(routing): send work on from busy targets, shed whole queries early

Conclusion: a broker sends back work that would have to wait (bounce_at), outcomes carry the target's load, and a guard per service limits running queries under overload. The wire must carry bounce_at, target_limit and target_load.

--- /dev/null
+++ b/bench/bench_tail.c
@@ -0,0 +1,462 @@
+/* Tail latency, extra load and goodput of the routing policies, in a discrete-event run
+ * of real entry and broker cores over model targets. The same seed gives all policies the
+ * same arrivals and, for each request, shard and replica, the same service time.
+ * Usage: bench_tail [tail|overload|cold] [QUERIES] [SEED] */
+
+#include <gsl/gsl_cdf.h>
+#include <gsl/gsl_sort.h>
+#include <gsl/gsl_statistics.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "model/tier.h"
+
+#define ENTRIES 9
+#define BROKERS 9
+#define REPLICAS 2
+#define SLOTS 2
+#define DEADLINE_MS 60
+
+/* From the caller to the entry and back; see docs/design.md section 1.6. */
+#define CALLER_US 2000
+
+/* Service times: lognormal, median 3 ms. */
+#define MEDIAN_US 3000.0
+#define SIGMA 0.35
+
+/* Stragglers: single slow requests, and times in which a whole target is slow. */
+typedef struct straggler_model
+{
+  const char *name;
+  double request_fraction; /* Requests that take request_factor times as long. */
+  double request_factor;
+  double target_fraction; /* Part of the time in which a target is slow. */
+  double target_factor;
+  int64_t target_period_us; /* Length of one slow time. */
+} straggler_model_t;
+
+static const straggler_model_t straggler_models[] = {
+  { "slow targets", 0.0, 1.0, 0.002, 6.0, 30 * JD_US_PER_MS },
+  { "slow requests", 0.005, 10.0, 0.0, 1.0, JD_US_PER_S },
+};
+
+/* One way of choosing replicas and of sending extra requests. */
+typedef struct policy
+{
+  const char *name;
+  jd_replica_policy_t replica;
+  jd_hedge_mode_t hedge;
+  gboolean bounce;
+  gboolean oracle;
+} policy_t;
+
+static const policy_t policies[] = {
+  { "random", JD_REPLICA_RANDOM, JD_HEDGE_NONE, FALSE, FALSE },
+  { "round robin", JD_REPLICA_ROUND_ROBIN, JD_HEDGE_NONE, FALSE, FALSE },
+  { "least in flight", JD_REPLICA_LEAST_IN_FLIGHT, JD_HEDGE_NONE, FALSE, FALSE },
+  { "fixed 10 ms hedge", JD_REPLICA_LEAST_IN_FLIGHT, JD_HEDGE_FIXED, FALSE, FALSE },
+  { "no hedge", JD_REPLICA_EARLIEST, JD_HEDGE_NONE, TRUE, FALSE },
+  { "no bounce", JD_REPLICA_EARLIEST, JD_HEDGE_QUANTILE, FALSE, FALSE },
+  { "least and bounce", JD_REPLICA_LEAST_IN_FLIGHT, JD_HEDGE_QUANTILE, TRUE, FALSE },
+  { "chosen", JD_REPLICA_EARLIEST, JD_HEDGE_QUANTILE, TRUE, FALSE },
+  { "oracle", JD_REPLICA_EARLIEST, JD_HEDGE_NONE, FALSE, TRUE },
+};
+
+#define POLICY_COUNT ((int)(sizeof (policies) / sizeof (policies[0])))
+#define POLICY_CHOSEN (POLICY_COUNT - 2)
+#define POLICY_ORACLE (POLICY_COUNT - 1)
+
+/* One request of a caller, with its retries. */
+typedef struct call
+{
+  uint32_t number;
+  uint32_t tries;
+  int64_t arrived_us;
+} call_t;
+
+/* One run of one policy. */
+typedef struct run
+{
+  jd_tier_t *tier;
+  uint64_t seed;
+  const straggler_model_t *stragglers;
+  jd_philox_t arrivals;
+  double mean_gap_us;
+  uint32_t query_count;
+  uint32_t next_number;
+  uint32_t caller_retries;
+  call_t *calls;
+  uint32_t submitting;   /* The call that is being planned, for the oracle. */
+  int64_t *slot_free_us; /* The oracle's plan: per target and slot. */
+  uint32_t warmup;       /* Calls that do not count. */
+  double *latencies_ms;
+  uint32_t latency_count;
+  double coverage_sum;
+  uint32_t full;
+  uint32_t partial;
+  uint32_t refused;
+  int64_t refused_us;
+  uint64_t first_before;
+  uint64_t extra_before;
+} run_t;
+
+/* Result of one run. */
+typedef struct summary
+{
+  double p50_ms;
+  double p99_ms;
+  double p999_ms;
+  double coverage;
+  double extra;
+  double goodput_per_s;
+  double refused;
+  double refusal_ms;
+} summary_t;
+
+/* Returns a number in (0, 1) that depends on the seed and three keys only. */
+static double
+unit_of (uint64_t seed, uint64_t stream, uint64_t counter)
+{
+  jd_philox_t state = { .seed = seed, .stream = stream, .counter = counter };
+  jd_rng_t rng = jd_philox_rng (&state);
+  return (jd_rng_unit (&rng) * 0.999999) + 5e-7;
+}
+
+/* Returns whether a target is in a slow time. */
+static gboolean
+is_slow (const run_t *run, uint32_t target, int64_t now_us)
+{
+  const straggler_model_t *model = run->stragglers;
+  uint64_t period = (uint64_t)(now_us / model->target_period_us);
+  return model->target_fraction > 0 &&
+         unit_of (run->seed, 1000 + target, period) < model->target_fraction;
+}
+
+/* Returns the service time of a request at a target. */
+static int64_t
+service_time_us (const run_t *run, uint32_t number, uint32_t target, int64_t now_us)
+{
+  const straggler_model_t *model = run->stragglers;
+  uint64_t stream = 100000 + target;
+  double time_us =
+      MEDIAN_US * exp (SIGMA * gsl_cdf_ugaussian_Pinv (
+                                   unit_of (run->seed, stream, 2 * (uint64_t)number)));
+  if (unit_of (run->seed, stream, 2 * (uint64_t)number + 1) < model->request_fraction)
+    time_us *= model->request_factor;
+  if (is_slow (run, target, now_us))
+    time_us *= model->target_factor;
+  return (int64_t)time_us;
+}
+
+/* Tier callback: service time. */
+static int64_t
+service_us (void *context, const jd_model_request_t *request)
+{
+  const run_t *run = context;
+  uint32_t target = (uint32_t)(request->target - run->tier->targets);
+  uint32_t number = (uint32_t)g_ascii_strtoull (request->text, NULL, 10);
+  return service_time_us (run, number, target, jd_sim_now_us (run->tier->sim));
+}
+
+/* Tier callback: the bench does not count executions. */
+static void
+on_execute (void *context, const jd_model_request_t *request, uint32_t load,
+            uint32_t capacity)
+{
+}
+
+/* Returns the delay from the planning entry to a target. */
+static int64_t
+way_us (const run_t *run, uint32_t target)
+{
+  const jd_tier_network_t *network = &run->tier->options.network;
+  uint32_t entry = run->submitting % ENTRIES;
+  gboolean local = entry % 3 == run->tier->targets[target].zone;
+  return (local ? network->zone_hop_us : network->hop_us) + network->target_hop_us;
+}
+
+/* Returns the slot of a target that is free first in the oracle's plan. */
+static int64_t *
+first_slot (const run_t *run, uint32_t target)
+{
+  int64_t *slots = &run->slot_free_us[(gsize)target * SLOTS];
+  return slots[0] <= slots[1] ? &slots[0] : &slots[1];
+}
+
+/* The oracle: the replica at which the request ends first, by the true service times
+ * and a plan of every slot. */
+static int32_t
+choose_oracle (void *context, const jd_shard_t *shard, const int32_t *index,
+               uint32_t count)
+{
+  run_t *run = context;
+  int64_t now_us = jd_sim_now_us (run->tier->sim);
+  int32_t best = index[0];
+  int64_t best_end_us = INT64_MAX;
+  int64_t best_free_us = 0;
+  uint32_t best_target = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const char *id = shard->replicas[index[i]]->id;
+      uint32_t target = (uint32_t)g_ascii_strtoull (id + 1, NULL, 10);
+      int64_t arrive_us = now_us + way_us (run, target);
+      int64_t start_us = MAX (arrive_us, *first_slot (run, target));
+      int64_t free_us =
+          start_us + service_time_us (run, run->submitting, target, start_us);
+      int64_t end_us = free_us + way_us (run, target);
+      if (end_us >= best_end_us)
+        continue;
+      best = index[i];
+      best_end_us = end_us;
+      best_free_us = free_us;
+      best_target = target;
+    }
+  *first_slot (run, best_target) = best_free_us;
+  return best;
+}
+
+static void submit (void *context, void *data);
+
+/* Counts a finished call. */
+static void
+count_call (run_t *run, const call_t *call, const jd_answer_t *answer)
+{
+  if (call->number < run->warmup)
+    return;
+  int64_t now_us = jd_sim_now_us (run->tier->sim);
+  if (answer->ran == JD_RAN_NO)
+    {
+      run->refused++;
+      run->refused_us += now_us - call->arrived_us;
+      return;
+    }
+  run->latencies_ms[run->latency_count++] =
+      (double)(now_us - call->arrived_us + CALLER_US) / 1000.0;
+  run->coverage_sum += answer->coverage;
+  if (answer->code == JD_OK)
+    run->full++;
+  else
+    run->partial++;
+}
+
+/* Tier callback: an answer. A refused caller may try again after 50 ms. */
+static void
+on_answer (void *context, uint32_t entry, const jd_answer_t *answer)
+{
+  run_t *run = context;
+  call_t *call = &run->calls[GPOINTER_TO_UINT (answer->user)];
+  if (answer->ran == JD_RAN_NO && call->tries <= run->caller_retries)
+    {
+      jd_sim_at (run->tier->sim, jd_sim_now_us (run->tier->sim) + 50 * JD_US_PER_MS,
+                 submit, run, call, NULL);
+      return;
+    }
+  count_call (run, call, answer);
+}
+
+/* Event: a call reaches an entry. */
+static void
+submit (void *context, void *data)
+{
+  run_t *run = context;
+  call_t *call = data;
+  char text[24];
+  g_snprintf (text, sizeof (text), "%u", call->number);
+  run->submitting = call->number;
+  if (call->tries++ == 0)
+    call->arrived_us = jd_sim_now_us (run->tier->sim);
+  jd_request_t request = { .kind = JD_WORK_SEARCH,
+                           .service = "desk",
+                           .text = text,
+                           .limit = 10,
+                           .user = GUINT_TO_POINTER (call->number) };
+  jd_tier_submit (run->tier, call->number % ENTRIES, &request);
+}
+
+/* Event: the next arrival of the Poisson process. */
+static void
+arrive (void *context, void *data)
+{
+  run_t *run = context;
+  call_t *call = &run->calls[run->next_number];
+  call->number = run->next_number++;
+  submit (run, call);
+  if (call->number == run->warmup)
+    jd_tier_load (run->tier, &run->first_before, &run->extra_before);
+  if (run->next_number == run->query_count)
+    return;
+  jd_rng_t rng = jd_philox_rng (&run->arrivals);
+  double gap_us = -log (1.0 - jd_rng_unit (&rng)) * run->mean_gap_us;
+  jd_sim_at (run->tier->sim, jd_sim_now_us (run->tier->sim) + (int64_t)gap_us, arrive,
+             run, NULL, NULL);
+}
+
+/* Returns the mean service time of a straggler model. */
+static double
+mean_service_us (const straggler_model_t *model)
+{
+  double mean_us = MEDIAN_US * exp (SIGMA * SIGMA / 2);
+  mean_us *= 1.0 + model->request_fraction * (model->request_factor - 1.0);
+  return mean_us * (1.0 + model->target_fraction * (model->target_factor - 1.0));
+}
+
+/* Returns the tier of a policy. */
+static jd_tier_options_t
+options_of (uint64_t seed, uint32_t shards, int policy, run_t *run)
+{
+  jd_tier_options_t options = {
+    .seed = seed,
+    .entries = ENTRIES,
+    .brokers = BROKERS,
+    .zones = 3,
+    .shards = shards,
+    .replicas = REPLICAS,
+    .slots = SLOTS,
+    .report_interval_us = 50 * JD_US_PER_MS,
+    .deadline_ms = DEADLINE_MS,
+    .hedge_quantile = 0.95,
+    .hedge_budget = 0.025,
+    .network = { .hop_us = 500,
+                 .zone_hop_us = 100,
+                 .jitter_us = 50,
+                 .target_hop_us = 100 },
+    .entry = jd_entry_settings_default (""),
+    .broker = jd_broker_settings_default (),
+  };
+  jd_entry_settings_t *entry = &options.entry;
+  entry->replica_policy = policies[policy].replica;
+  entry->hedge_mode = policies[policy].hedge;
+  entry->hedge_fixed_us = 10 * JD_US_PER_MS;
+  entry->bounce = policies[policy].bounce;
+  if (policies[policy].oracle)
+    {
+      entry->chooser = choose_oracle;
+      entry->chooser_context = run;
+    }
+  return options;
+}
+
+/* Turns the counts of a run into its result. */
+static summary_t
+summarise (run_t *run)
+{
+  uint64_t first = 0;
+  uint64_t extra = 0;
+  jd_tier_load (run->tier, &first, &extra);
+  first -= run->first_before;
+  extra -= run->extra_before;
+  gsl_sort (run->latencies_ms, 1, run->latency_count);
+  const double *sorted = run->latencies_ms;
+  uint32_t n = run->latency_count;
+  uint32_t counted = run->query_count - run->warmup;
+  return (summary_t){
+    .p50_ms = gsl_stats_quantile_from_sorted_data (sorted, 1, n, 0.5),
+    .p99_ms = gsl_stats_quantile_from_sorted_data (sorted, 1, n, 0.99),
+    .p999_ms = gsl_stats_quantile_from_sorted_data (sorted, 1, n, 0.999),
+    .coverage = n ? run->coverage_sum / n : 0,
+    .extra = first ? (double)extra / (double)first : 0,
+    .goodput_per_s = run->full / (counted * run->mean_gap_us / 1e6),
+    .refused = (double)run->refused / counted,
+    .refusal_ms = run->refused ? (double)run->refused_us / 1000.0 / run->refused : 0,
+  };
+}
+
+/* Runs one policy at a load, which is a fraction of the slot capacity. */
+static summary_t
+run_policy (uint64_t seed, const straggler_model_t *model, uint32_t shards, int policy,
+            double load, uint32_t queries, uint32_t caller_retries)
+{
+  run_t run = { .seed = seed,
+                .stragglers = model,
+                .arrivals = { .seed = seed, .stream = 3 },
+                .mean_gap_us = mean_service_us (model) / (load * REPLICAS * SLOTS),
+                .query_count = queries,
+                .caller_retries = caller_retries,
+                .warmup = queries / 5 };
+  run.calls = g_new0 (call_t, queries);
+  run.latencies_ms = g_new0 (double, queries);
+  run.slot_free_us = g_new0 (int64_t, (gsize)shards * REPLICAS * SLOTS);
+  jd_tier_options_t options = options_of (seed, shards, policy, &run);
+  jd_tier_hooks_t hooks = { service_us, on_execute, on_answer, &run };
+  run.tier = jd_tier_new (&options, &hooks);
+  int64_t start_us = jd_sim_now_us (run.tier->sim) + 200 * JD_US_PER_MS;
+  jd_sim_at (run.tier->sim, start_us, arrive, &run, NULL, NULL);
+  int64_t length_us = (int64_t)(run.mean_gap_us * queries * 1.1) + JD_US_PER_S;
+  jd_sim_run (run.tier->sim, start_us + length_us);
+  summary_t summary = summarise (&run);
+  jd_tier_free (run.tier);
+  g_free (run.calls);
+  g_free (run.latencies_ms);
+  g_free (run.slot_free_us);
+  return summary;
+}
+
+/* Prints the latency table of one straggler model and fan-out. */
+static void
+print_tail (uint64_t seed, const straggler_model_t *model, uint32_t shards,
+            uint32_t queries)
+{
+  const double loads[] = { 0.30, 0.60, 0.85 };
+  printf ("\nstragglers: %s, %u shards, %u queries, seed %llu\n", model->name, shards,
+          queries, (unsigned long long)seed);
+  printf ("%-5s %-18s %8s %8s %8s %9s %9s %8s %8s\n", "load", "policy", "p50 ms",
+          "p99 ms", "p99.9 ms", "coverage", "extra", "refused", "p99/orc");
+  for (unsigned i = 0; i < sizeof (loads) / sizeof (loads[0]); i++)
+    {
+      summary_t results[POLICY_COUNT];
+      for (int p = 0; p < POLICY_COUNT; p++)
+        results[p] = run_policy (seed, model, shards, p, loads[i], queries, 0);
+      for (int p = 0; p < POLICY_COUNT; p++)
+        printf ("%4.0f%% %-18s %8.2f %8.2f %8.2f %9.6f %8.2f%% %7.2f%% %8.2f\n",
+                100 * loads[i], policies[p].name, results[p].p50_ms, results[p].p99_ms,
+                results[p].p999_ms, results[p].coverage, 100 * results[p].extra,
+                100 * results[p].refused,
+                results[p].p99_ms / results[POLICY_ORACLE].p99_ms);
+      fflush (stdout);
+    }
+}
+
+/* Prints full answers per second at loads up to three times the slot capacity. Refused
+ * callers try again up to two times. */
+static void
+print_overload (uint64_t seed, uint32_t queries)
+{
+  const double loads[] = { 0.6, 0.8, 0.9, 1.0, 1.2, 1.5, 2.0, 3.0 };
+  double peak = 0;
+  printf ("\noverload: 20 shards, %u queries, seed %llu, 2 repeats per refused caller\n",
+          queries, (unsigned long long)seed);
+  printf ("%-6s %12s %8s %8s %9s %9s %9s %10s\n", "load", "full per s", "of peak",
+          "p99 ms", "coverage", "extra", "refused", "refusal ms");
+  for (unsigned i = 0; i < sizeof (loads) / sizeof (loads[0]); i++)
+    {
+      summary_t result = run_policy (seed, &straggler_models[0], 20, POLICY_CHOSEN,
+                                     loads[i], queries, 2);
+      peak = MAX (peak, result.goodput_per_s);
+      printf ("%5.0f%% %12.1f %8.2f %8.2f %9.6f %8.2f%% %8.2f%% %10.2f\n", 100 * loads[i],
+              result.goodput_per_s, result.goodput_per_s / peak, result.p99_ms,
+              result.coverage, 100 * result.extra, 100 * result.refused,
+              result.refusal_ms);
+      fflush (stdout);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  const char *part = argc > 1 ? argv[1] : "all";
+  uint32_t queries = argc > 2 ? (uint32_t)g_ascii_strtoull (argv[2], NULL, 10) : 20000;
+  uint64_t seed = argc > 3 ? g_ascii_strtoull (argv[3], NULL, 10) : 1;
+  gboolean all = g_str_equal (part, "all");
+  for (unsigned m = 0; m < 2 && (all || g_str_equal (part, "tail")); m++)
+    {
+      print_tail (seed, &straggler_models[m], 20, queries);
+      print_tail (seed, &straggler_models[m], 30, queries);
+    }
+  if (all || g_str_equal (part, "overload"))
+    print_overload (seed, queries);
+  return EXIT_SUCCESS;
+}
--- a/test/support/model_target.c
+++ b/bench/model/model_target.c
@@ -1,4 +1,4 @@
-#include "support/model_target.h"
+#include "model/model_target.h"
 
 #include "base/hash.h"
 
--- a/test/support/model_target.h
+++ b/bench/model/model_target.h
@@ -2,7 +2,7 @@
 
 #include "base/rng.h"
 #include "routing/broker_defs.h"
-#include "support/sim.h"
+#include "model/sim.h"
 
 #define JD_MODEL_SNAPSHOTS 2
 
--- a/test/support/sim.c
+++ b/bench/model/sim.c
@@ -1,4 +1,4 @@
-#include "support/sim.h"
+#include "model/sim.h"
 
 typedef struct sim_event
 {
--- a/test/support/tier.c
+++ b/bench/model/tier.c
@@ -1,4 +1,4 @@
-#include "support/tier.h"
+#include "model/tier.h"
 
 #include <string.h>
 
@@ -28,6 +28,7 @@
   int64_t clock_offset_us;
   int64_t paused_until_us;
   int64_t wake_us;
+  GHashTable *target_of; /* handle -> jd_model_target_t, until its end */
 } jd_tier_broker_t;
 
 /* A message or reply on its way; which fields are used depends on the event. */
@@ -397,6 +398,9 @@
   jd_model_request_t *request = g_new0 (jd_model_request_t, 1);
   parcel->request = request;
   request->target = find_target (tier, start->target);
+  g_hash_table_insert (broker->target_of,
+                       g_memdup2 (&start->handle, sizeof (start->handle)),
+                       request->target);
   request->handle = start->handle;
   request->broker = broker->index;
   request->kind = start->work->kind;
@@ -420,6 +424,7 @@
     return;
   jd_broker_core_on_reply (broker->core, parcel->handle, &parcel->reply,
                            broker_now_us (broker));
+  g_hash_table_remove (broker->target_of, &parcel->handle);
   settle_broker (broker);
   parcel_free (parcel);
 }
@@ -459,31 +464,18 @@
   parcel_free (parcel);
 }
 
-/* Broker callback: cancels an attempt. The simulation looks for it at all targets, as
- * the callback names no target. It may still be on its way; the hop is the same, so the
- * request arrives first. */
+/* Broker callback: cancels an attempt. The request may still be on its way; the hop is
+ * the same, so it arrives before the cancellation. */
 static void
 cancel_attempt (void *context, uint64_t handle)
 {
   jd_tier_broker_t *broker = context;
   jd_tier_t *tier = broker->tier;
-  for (uint32_t i = 0; i < tier->target_count; i++)
-    {
-      jd_model_target_t *target = &tier->targets[i];
-      for (guint r = 0; r < target->running->len; r++)
-        {
-          const jd_model_request_t *request = g_ptr_array_index (target->running, r);
-          if (request->handle != handle || request->broker != broker->index)
-            continue;
-          jd_parcel_t *parcel = parcel_new (NULL, broker);
-          parcel->handle = handle;
-          parcel->target = target;
-          jd_sim_at (tier->sim,
-                     jd_sim_now_us (tier->sim) + tier->options.network.target_hop_us,
-                     deliver_target_cancel, tier, parcel, parcel_free);
-          return;
-        }
-    }
+  jd_parcel_t *parcel = parcel_new (NULL, broker);
+  parcel->handle = handle;
+  parcel->target = g_hash_table_lookup (broker->target_of, &handle);
+  jd_sim_at (tier->sim, jd_sim_now_us (tier->sim) + tier->options.network.target_hop_us,
+             deliver_target_cancel, tier, parcel, parcel_free);
 }
 
 /* Target callback: service time. */
@@ -638,6 +630,8 @@
       g_snprintf (broker->name, sizeof (broker->name), "b%u", i);
       broker->clock_offset_us = (int64_t)jd_rng_below (&tier->rng, 1000000000);
       broker->wake_us = INT64_MAX;
+      broker->target_of =
+          g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
       broker->core = jd_broker_core_new (&options->broker, &callbacks);
       for (uint32_t t = 0; t < tier->target_count; t++)
         jd_broker_core_set_target (broker->core, tier->targets[t].name, options->slots,
@@ -694,7 +688,10 @@
   for (uint32_t i = 0; i < tier->options.entries; i++)
     jd_entry_core_free (tier->entries[i].core);
   for (uint32_t i = 0; i < tier->options.brokers; i++)
-    jd_broker_core_free (tier->brokers[i].core);
+    {
+      jd_broker_core_free (tier->brokers[i].core);
+      g_hash_table_destroy (tier->brokers[i].target_of);
+    }
   for (uint32_t i = 0; i < tier->target_count; i++)
     jd_model_target_clear (&tier->targets[i]);
   g_free (tier->entries);
--- a/test/support/tier.h
+++ b/bench/model/tier.h
@@ -2,7 +2,7 @@
 
 #include "routing/broker_core.h"
 #include "routing/entry_core.h"
-#include "support/model_target.h"
+#include "model/model_target.h"
 
 /* Delay and faults of the messages between entries and brokers. */
 typedef struct jd_tier_network
--- a/src/base/result_code.c
+++ b/src/base/result_code.c
@@ -35,6 +35,7 @@
   { JD_CROSSED_REPLY, "crossed_reply", 502, "The target answered another request." },
   { JD_ENTRY_NOT_FOUND, "entry_not_found", 404, "Use the id of an existing entry." },
   { JD_CANCELLED, "cancelled", 503, "The request was cancelled before it ran." },
+  { JD_TARGET_BUSY, "target_busy", 503, "The target is busy; use another replica." },
   { JD_DEADLINE_EXCEEDED, "deadline_exceeded", 504, "Allow more time." },
   { JD_OUTCOME_UNKNOWN, "outcome_unknown", 504,
     "The request may have run; read the entry before sending it again." },
--- a/src/routing/broker_core.c
+++ b/src/routing/broker_core.c
@@ -138,6 +138,13 @@
   g_free (core);
 }
 
+/* Returns the target with this name, or NULL. */
+static jd_broker_target_t *
+find_target (const jd_broker_core_t *core, const char *name)
+{
+  return g_hash_table_lookup (core->targets, name);
+}
+
 /* Adds the outcome of an attempt to its batch. */
 static void
 add_outcome (jd_broker_core_t *core, jd_broker_batch_t *batch,
@@ -147,6 +154,22 @@
   list_batch (core, batch);
 }
 
+/* Writes the present load of each target into the collected outcomes. */
+static void
+fill_loads (jd_broker_core_t *core, jd_broker_batch_t *batch, int64_t now_us)
+{
+  for (uint32_t i = 0; i < batch->outcomes->len; i++)
+    {
+      jd_work_outcome_t *outcome = &g_array_index (batch->outcomes, jd_work_outcome_t, i);
+      const jd_broker_target_t *target = find_target (core, outcome->target);
+      if (!target)
+        continue;
+      outcome->target_limit = jd_target_gate_limit (&target->gate, now_us);
+      outcome->target_load =
+          target->gate.in_flight + jd_broker_queue_length (target->queue);
+    }
+}
+
 /* Answers an attempt that did not run and was not started. */
 static void
 refuse_item (jd_broker_core_t *core, jd_broker_batch_t *batch, const jd_work_item_t *item,
@@ -159,6 +182,8 @@
   g_strlcpy (outcome.shard, item->shard, sizeof (outcome.shard));
   if (code == JD_OVERLOADED)
     core->counts.refused_overload++;
+  else if (code == JD_TARGET_BUSY)
+    core->counts.bounced++;
   else if (code == JD_NOT_OWNER)
     core->counts.refused_not_owner++;
   else if (code == JD_DEADLINE_EXCEEDED)
@@ -286,13 +311,6 @@
     }
 }
 
-/* Returns the target with this name, or NULL. */
-static jd_broker_target_t *
-find_target (const jd_broker_core_t *core, const char *name)
-{
-  return g_hash_table_lookup (core->targets, name);
-}
-
 /* Adds a published target or changes its limits. */
 void
 jd_broker_core_set_target (jd_broker_core_t *core, const char *name, uint32_t slots,
@@ -369,8 +387,9 @@
 /* Returns JD_OK when an item may wait for its target, else the code of the refusal. */
 static jd_result_code_t
 check_item (const jd_broker_core_t *core, const jd_broker_target_t *target,
-            int64_t deadline_us, int64_t now_us)
+            const jd_work_t *work, int64_t now_us)
 {
+  int64_t deadline_us = work->deadline_us;
   if (!target)
     return JD_NOT_OWNER;
   jd_result_code_t refusal = jd_broker_target_usable (target, now_us);
@@ -381,6 +400,8 @@
     return JD_DEADLINE_EXCEEDED;
   if (jd_broker_target_estimate_us (target, deadline_us, now_us) > deadline_us)
     return JD_OVERLOADED;
+  if (work->bounce_at && jd_broker_target_wait (target, now_us) >= work->bounce_at)
+    return JD_TARGET_BUSY;
   return JD_OK;
 }
 
@@ -397,7 +418,7 @@
     }
   remember (core, &key, batch->work.deadline_us);
   jd_broker_target_t *target = find_target (core, item->target);
-  jd_result_code_t refusal = check_item (core, target, batch->work.deadline_us, now_us);
+  jd_result_code_t refusal = check_item (core, target, &batch->work, now_us);
   if (refusal != JD_OK)
     {
       refuse_item (core, batch, item, refusal);
@@ -511,13 +532,16 @@
 };
 
 /* Returns whether an attempt without a reply ran much longer than is normal for its
- * target. Attempts that began shortly before their deadline say nothing about it. */
+ * target; without a learned latency, for at least half of its time. Attempts that began
+ * shortly before their deadline say nothing about the target. */
 static gboolean
 was_slow (const jd_broker_attempt_t *attempt, int64_t now_us)
 {
   const jd_target_gate_t *gate = &attempt->target->gate;
-  double bound_us = gate->settings.slow_factor * (double)gate->median_us;
-  return !gate->median_us || (double)(now_us - attempt->started_us) > bound_us;
+  int64_t ran_us = now_us - attempt->started_us;
+  if (!gate->median_us)
+    return 2 * ran_us >= attempt->deadline_us - attempt->arrived_us;
+  return (double)ran_us > gate->settings.slow_factor * (double)gate->median_us;
 }
 
 /* Tells the gate what the end of an attempt shows about the target. */
@@ -636,15 +660,16 @@
   hold_slot (core, attempt);
 }
 
-/* Frees a slot whose attempt got no reply or confirmation in time. A silent target
- * falls back to one attempt at a time. */
+/* Frees a slot whose attempt got no reply or confirmation in time. A target that has not
+ * replied to a later attempt either falls back to one attempt at a time. */
 static void
 end_held (jd_broker_core_t *core, jd_broker_attempt_t *attempt, int64_t now_us)
 {
   jd_target_reply_t reply = { .kind = JD_REPLY_TIMEOUT,
                               .uptime_us = -1,
                               .in_flight = -1 };
-  sample_reply (attempt, &reply, now_us);
+  if (attempt->target->gate.alive_us <= attempt->started_us)
+    sample_reply (attempt, &reply, now_us);
   end_running (core, attempt);
 }
 
@@ -702,6 +727,7 @@
     {
       jd_broker_batch_t *batch = g_ptr_array_index (core->ready, i);
       jd_broker_batch_truncate (batch);
+      fill_loads (core, batch, now_us);
       jd_work_result_t result = {
         .query_id = batch->work.query_id,
         .broker_clock_us = now_us,
--- a/src/routing/broker_defs.h
+++ b/src/routing/broker_defs.h
@@ -78,6 +78,7 @@
 {
   uint64_t started;
   uint64_t refused_overload;
+  uint64_t bounced; /* Busy target, sent back for another replica. */
   uint64_t refused_not_owner;
   uint64_t refused_target;
   uint64_t expired;
--- a/src/routing/broker_target.c
+++ b/src/routing/broker_target.c
@@ -33,6 +33,18 @@
   return JD_OK;
 }
 
+/* Returns how many attempts must end before new work starts. A pause of the gate counts
+ * as one. */
+uint32_t
+jd_broker_target_wait (const jd_broker_target_t *target, int64_t now_us)
+{
+  uint32_t load = target->gate.in_flight + jd_broker_queue_length (target->queue);
+  uint32_t limit = jd_target_gate_limit (&target->gate, now_us);
+  if (load >= limit)
+    return load - limit + 1;
+  return now_us < target->gate.blocked_until_us ? 1 : 0;
+}
+
 /* Estimates the end of new work from the learned median, the attempts that would go
  * first and a pause of the gate. Without a learned median it is now, so that nothing is
  * refused on a guess. */
--- a/src/routing/broker_target.h
+++ b/src/routing/broker_target.h
@@ -49,6 +49,8 @@
 /* JD_OK when the target takes new work, else the reason. */
 jd_result_code_t jd_broker_target_usable (const jd_broker_target_t *target,
                                           int64_t now_us);
+/* Number of attempts that must end before new work starts; 0: it starts at once. */
+uint32_t jd_broker_target_wait (const jd_broker_target_t *target, int64_t now_us);
 /* Estimated time at which work with this deadline would be finished. */
 int64_t jd_broker_target_estimate_us (const jd_broker_target_t *target,
                                       int64_t deadline_us, int64_t now_us);
--- a/src/routing/entry_core.c
+++ b/src/routing/entry_core.c
@@ -23,6 +23,8 @@
     .hedge_min_us = JD_US_PER_MS,
     .status_limit_us = 2 * JD_US_PER_S,
     .zone_ramp_us = 10 * JD_US_PER_S,
+    .bounce = TRUE,
+    .shed_early = TRUE,
     .check_snapshot = TRUE,
   };
 }
@@ -46,6 +48,8 @@
   env->settings = *settings;
   env->callbacks = *callbacks;
   env->planner = (jd_planner_t){ .policy = settings->replica_policy,
+                                 .chooser = settings->chooser,
+                                 .chooser_context = settings->chooser_context,
                                  .rng = rng,
                                  .status_limit_us = settings->status_limit_us,
                                  .zone_ramp_us = settings->zone_ramp_us };
@@ -91,8 +95,11 @@
 
 /* Gives the answer of a finished query to the caller and frees the query. */
 static void
-deliver (jd_entry_core_t *core, jd_query_t *query)
+deliver (jd_entry_core_t *core, jd_query_t *query, int64_t now_us)
 {
+  if (core->env.settings.shed_early)
+    jd_overload_guard_leave (&query->service->guard, jd_query_overload (query),
+                             now_us - query->started_us, now_us);
   jd_answer_t answer;
   jd_query_answer (query, &answer);
   if (query->timer)
@@ -104,11 +111,11 @@
 
 /* Delivers a finished query, or sets the timer of a running one. */
 static void
-settle (jd_entry_core_t *core, jd_query_t *query)
+settle (jd_entry_core_t *core, jd_query_t *query, int64_t now_us)
 {
   if (query->finished)
     {
-      deliver (core, query);
+      deliver (core, query, now_us);
       return;
     }
   int64_t wake_us = jd_query_wake_us (query);
@@ -228,7 +235,7 @@
         continue;
       jd_query_t *query = attempt->query;
       jd_query_on_lost (query, attempt, now_us);
-      settle (core, query);
+      settle (core, query, now_us);
     }
 }
 
@@ -261,10 +268,15 @@
       refuse (core, query_id, request, JD_BAD_REQUEST);
       return query_id;
     }
+  if (core->env.settings.shed_early && !jd_overload_guard_enter (&service->guard))
+    {
+      refuse (core, query_id, request, JD_OVERLOADED);
+      return query_id;
+    }
   jd_query_t *query = jd_query_new (&core->env, service, query_id, request, now_us);
   g_hash_table_insert (core->queries, &query->id, query);
   jd_query_start (query, now_us);
-  settle (core, query);
+  settle (core, query, now_us);
   return query_id;
 }
 
@@ -277,7 +289,7 @@
   if (!query)
     return;
   jd_query_cancel (query, code, now_us);
-  settle (core, query);
+  settle (core, query, now_us);
 }
 
 /* Returns the attempt that an outcome belongs to. Late, repeated and crossed outcomes
@@ -316,7 +328,7 @@
         continue;
       jd_query_t *query = attempt->query;
       jd_query_on_outcome (query, attempt, outcome, now_us);
-      settle (core, query);
+      settle (core, query, now_us);
     }
 }
 
@@ -330,7 +342,7 @@
       if (query->timer_us > now_us)
         return;
       jd_query_tick (query, now_us);
-      settle (core, query);
+      settle (core, query, now_us);
     }
 }
 
--- a/src/routing/hedge_budget.c
+++ b/src/routing/hedge_budget.c
@@ -1,8 +1,8 @@
 #include "routing/hedge_budget.h"
 
-/* Most saved tokens. At 2.5% it is reached by 2,000 requests, and bounds the extra
- * load that may follow a quiet time. */
-#define MAX_TOKENS 50.0
+/* Most saved tokens; bounds the extra load that may follow a quiet time. With 50, the
+ * entries together could double the load of one shard for 0.3 s. */
+#define MAX_TOKENS 10.0
 
 /* Fills the budget by a fraction of first requests that are being sent. */
 void
@@ -25,3 +25,11 @@
   budget->extra_requests++;
   return TRUE;
 }
+
+/* Gives back the token of an extra request that did not run. */
+void
+jd_hedge_budget_return (jd_hedge_budget_t *budget)
+{
+  budget->tokens = MIN (MAX_TOKENS, budget->tokens + 1.0);
+  budget->extra_requests--;
+}
--- a/src/routing/hedge_budget.h
+++ b/src/routing/hedge_budget.h
@@ -15,3 +15,5 @@
 
 void jd_hedge_budget_add (jd_hedge_budget_t *budget, uint32_t requests, double fraction);
 gboolean jd_hedge_budget_take (jd_hedge_budget_t *budget);
+/* Gives back the token of an extra request that did not run. */
+void jd_hedge_budget_return (jd_hedge_budget_t *budget);
--- a/src/routing/planner.c
+++ b/src/routing/planner.c
@@ -1,5 +1,7 @@
 #include "routing/planner.h"
 
+#include <math.h>
+
 /* Different snapshots considered per query. Targets hold up to 4, of which successive
  * ones overlap between targets. */
 #define MAX_CANDIDATES 16
@@ -7,6 +9,9 @@
 /* Two replicas within this fraction count as equally fast. */
 #define EQUAL_FRACTION 0.1
 
+/* A reported load counts for 1/e of its value after this time. */
+#define LOAD_MEMORY_US 10000.0
+
 /* Replicas beyond this index of one shard are not tried twice in the same query. */
 #define MAX_REPLICAS 32
 
@@ -93,14 +98,17 @@
   return best;
 }
 
-/* Returns the attempts at the target that other entries started, as far as known. */
+/* Returns the attempts at the target: those of other entries, as far as known, and the
+ * own ones. What is known of others loses weight with its age, since queues change
+ * within a few service times; without that, all entries would send to the replica that
+ * was last reported as idle. */
 static double
-load_of (const jd_entry_target_t *target)
+load_of (const jd_entry_target_t *target, int64_t now_us)
 {
-  uint32_t reported = target->status.in_flight + target->status.queued;
-  uint32_t others =
-      reported > target->own_at_status ? reported - target->own_at_status : 0;
-  return (double)(others + target->own_in_flight);
+  double others =
+      target->load > target->own_at_load ? target->load - target->own_at_load : 0;
+  double age_us = (double)(now_us - target->load_us);
+  return others * exp (-age_us / LOAD_MEMORY_US) + target->own_in_flight;
 }
 
 /* Returns the estimated time to an answer from a target. */
@@ -108,7 +116,7 @@
 estimate_us (const jd_entry_target_t *target, int64_t now_us)
 {
   double limit = MAX (1, target->status.limit);
-  double load = load_of (target);
+  double load = load_of (target, now_us);
   double median_us = MAX (1.0, (double)jd_latency_tracker_median_us (&target->latency));
   double wait_us = load >= limit ? (load + 1 - limit) / limit * median_us : 0;
   double recent_us = MAX (median_us, target->latency.recent_us);
@@ -219,6 +227,8 @@
   collect (planner, shard, snapshot, tried, now_us, &set);
   if (set.count == 0)
     return -1;
+  if (planner->chooser)
+    return planner->chooser (planner->chooser_context, shard, set.index, set.count);
   if (set.count == 1)
     return set.index[0];
   switch (planner->policy)
--- a/src/routing/planner.h
+++ b/src/routing/planner.h
@@ -12,9 +12,15 @@
   JD_REPLICA_LEAST_IN_FLIGHT,
 } jd_replica_policy_t;
 
+/* Chooses one of the replicas with the given indexes, for comparison in benchmarks. */
+typedef int32_t (*jd_replica_chooser_t) (void *context, const jd_shard_t *shard,
+                                         const int32_t *index, uint32_t count);
+
 typedef struct jd_planner
 {
   jd_replica_policy_t policy;
+  jd_replica_chooser_t chooser; /* Goes before the policy; NULL: none. */
+  void *chooser_context;
   jd_rng_t rng;
   jd_name_t zone;          /* Own zone. */
   int64_t status_limit_us; /* Older reports of a target do not count. */
--- a/src/routing/query.c
+++ b/src/routing/query.c
@@ -10,6 +10,20 @@
 /* A hedged request that was denied is considered again after this time. */
 #define HEDGE_RECHECK_US JD_US_PER_MS
 
+/* A hedged request that a busy target sent back is sent again after this time. */
+#define HEDGE_BUSY_US (3 * JD_US_PER_MS)
+
+/* A first attempt is sent back where it would wait for the end of this many others. 1
+ * sends back more, and gave longer tails at 85% load: work on its way leaves slots idle.
+ */
+#define FIRST_MAX_WAIT 2
+
+/* A hedged request goes to the front of the queue, as its deadline is near. Where more
+ * attempts than this wait, the shard has too much work, and hedging all of its requests
+ * would double that. 2 leaves stragglers in place at 60% load, 100 overloads the shard.
+ */
+#define HEDGE_MAX_WAIT 6
+
 /* The demand for hedged requests is kept below the budget, so that the budget is there
  * for the slowest attempts and for retries. */
 #define HEDGE_DEMAND 0.8
@@ -21,6 +35,9 @@
 /* Assumed latency while none is known. */
 #define UNKNOWN_LATENCY_US (10 * JD_US_PER_MS)
 
+/* Work that waits at a broker for this fraction of the service's time shows overload. */
+#define OVERLOAD_WAIT 0.25
+
 /* A query is planned anew on another snapshot when more than this fraction of the
  * weight was lost for lack of the first one. */
 #define REPLAN_FRACTION 0.1
@@ -43,6 +60,7 @@
   query->body_bytes = request->body ? request->body_bytes : 0;
   query->limit = request->limit;
   query->user = request->user;
+  query->started_us = now_us;
   query->deadline_us =
       request->deadline_us ? request->deadline_us : now_us + query->map->deadline_us;
   query->shards = g_new0 (jd_query_shard_t, query->map->shard_count);
@@ -209,7 +227,11 @@
         give_up_shard (query, s, JD_NO_TARGET);
     }
   jd_hedge_budget_add (&query->service->budget, planned, query->map->hedge_budget);
+  gboolean bounce = query->env->settings.bounce;
+  query->bounce_at =
+      bounce && query->map->shards[0].replica_count > 1 ? FIRST_MAX_WAIT : 0;
   dispatch (query, now_us);
+  query->bounce_at = 0;
   finish_if_resolved (query, now_us);
 }
 
@@ -351,12 +373,69 @@
   return TRUE;
 }
 
+/* Returns how many attempts must end before new work starts at a target, as just
+ * reported. */
+static uint32_t
+reported_wait (const jd_entry_target_t *target)
+{
+  uint32_t limit = MAX (1, target->status.limit);
+  return target->load >= limit ? target->load - limit + 1 : 1;
+}
+
+/* Sends work on that a busy target sent back: first to another replica, which takes it
+ * unless the wait is longer there, then back to wait at the better one. Nothing ran, so
+ * this is no extra request. Returns FALSE when no replica is usable. */
+static gboolean
+send_on (jd_query_t *query, uint32_t shard, uint32_t replica, int64_t now_us)
+{
+  jd_query_shard_t *state = &query->shards[shard];
+  const jd_entry_target_t *busy = query->map->shards[shard].replicas[replica];
+  query->env->counts.bounces++;
+  state->bounces++;
+  state->tried = UINT32_C (1) << replica;
+  query->bounce_at = state->bounces == 1 ? reported_wait (busy) + 1 : 0;
+  gboolean found = try_replica (query, shard, now_us);
+  if (!found)
+    {
+      state->tried = 0;
+      query->bounce_at = 0;
+      found = try_replica (query, shard, now_us);
+    }
+  if (found)
+    dispatch (query, now_us);
+  query->bounce_at = 0;
+  /* The busy target has not run it, so a hedged request may still go there. */
+  if (state->attempts[0] && state->attempts[0]->replica != replica)
+    state->tried &= ~(UINT32_C (1) << replica);
+  return found;
+}
+
+/* Takes back a hedged request that a busy target sent back while the first attempt is
+ * still running. It may be sent again later. */
+static void
+withdraw_hedge (jd_query_t *query, uint32_t shard, uint32_t replica, int64_t now_us)
+{
+  jd_query_shard_t *state = &query->shards[shard];
+  state->tried &= ~(UINT32_C (1) << replica);
+  state->hedge_at_us = now_us + HEDGE_BUSY_US;
+  query->next_hedge_us = MIN (query->next_hedge_us, state->hedge_at_us);
+  query->extra_requests--;
+  query->env->counts.hedges--;
+  jd_hedge_budget_return (&query->service->budget);
+}
+
 /* Handles the failure of an attempt of a search or fetch, which is already dropped. */
 static void
-on_failure (jd_query_t *query, uint32_t shard, jd_result_code_t code, int64_t now_us)
+on_failure (jd_query_t *query, uint32_t shard, uint32_t replica, jd_result_code_t code,
+            int64_t now_us)
 {
   jd_query_shard_t *state = &query->shards[shard];
-  if (state->resolved || state->attempts[0] || state->attempts[1])
+  gboolean other_runs = state->attempts[0] || state->attempts[1];
+  if (other_runs && !state->resolved && code == JD_TARGET_BUSY)
+    withdraw_hedge (query, shard, replica, now_us);
+  if (state->resolved || other_runs)
+    return;
+  if (code == JD_TARGET_BUSY && send_on (query, shard, replica, now_us))
     return;
   if (!retry_shard (query, shard, now_us))
     give_up_shard (query, shard, code);
@@ -413,15 +492,29 @@
   jd_latency_tracker_record (&query->service->latency, latency_us);
 }
 
+/* Returns whether an outcome shows that its target has too much work. */
+static gboolean
+shows_overload (const jd_query_t *query, const jd_work_outcome_t *outcome)
+{
+  int64_t bound_us = (int64_t)(OVERLOAD_WAIT * (double)query->map->deadline_us);
+  gboolean expired = outcome->code == JD_DEADLINE_EXCEEDED && outcome->ran == JD_RAN_NO;
+  return outcome->code == JD_OVERLOADED || expired || outcome->queue_us > bound_us;
+}
+
 /* Takes the outcome of an attempt. */
 void
 jd_query_on_outcome (jd_query_t *query, jd_query_attempt_t *attempt,
                      jd_work_outcome_t *outcome, int64_t now_us)
 {
   uint32_t shard = attempt->shard;
+  uint32_t replica = attempt->replica;
   jd_result_code_t code = outcome->code;
   gboolean good = code == JD_OK || (code == JD_ENTRY_NOT_FOUND && shard == 0);
   query->ran = worse_ran (query->ran, outcome->ran);
+  query->overload_signs += shows_overload (query, outcome) ? 1 : 0;
+  if (outcome->target_limit)
+    jd_entry_target_set_load (attempt->target, outcome->target_limit,
+                              outcome->target_load, now_us);
   if (good)
     record_latency (query, attempt, now_us);
   if (good && query->kind == JD_WORK_SEARCH && query->env->settings.check_snapshot &&
@@ -436,7 +529,7 @@
   else if (good && take_shard (query, shard, outcome, now_us))
     finish_if_resolved (query, now_us);
   else
-    on_failure (query, shard, code, now_us);
+    on_failure (query, shard, replica, code, now_us);
 }
 
 /* Handles an attempt whose broker is gone; whether it ran is not known. */
@@ -536,8 +629,11 @@
         hedge_shard (query, s, now_us);
       query->next_hedge_us = MIN (query->next_hedge_us, state->hedge_at_us);
     }
-  if (query->extra_requests != before)
-    dispatch (query, now_us);
+  if (query->extra_requests == before)
+    return;
+  query->bounce_at = query->env->settings.bounce ? HEDGE_MAX_WAIT : 0;
+  dispatch (query, now_us);
+  query->bounce_at = 0;
 }
 
 /* Acts on the time. */
@@ -561,6 +657,13 @@
   return MIN (query->deadline_us, query->next_hedge_us);
 }
 
+/* Returns the fraction of the shards that showed overload. */
+double
+jd_query_overload (const jd_query_t *query)
+{
+  return (double)query->overload_signs / (double)query->map->shard_count;
+}
+
 /* Fills in the answer of a finished query. */
 void
 jd_query_answer (jd_query_t *query, jd_answer_t *answer)
--- a/src/routing/query.h
+++ b/src/routing/query.h
@@ -14,6 +14,7 @@
   uint64_t id;
   jd_query_t *query;
   uint32_t shard;
+  uint32_t replica;
   jd_entry_target_t *target;
   jd_broker_view_t *broker;
   int64_t sent_us;
@@ -23,6 +24,7 @@
 typedef struct jd_query_shard
 {
   jd_query_attempt_t *attempts[JD_SHARD_ATTEMPTS];
+  uint32_t bounces;    /* Times that a busy target sent the work back. */
   uint32_t tried;      /* Bit per replica index. */
   int64_t hedge_at_us; /* INT64_MAX: no hedged request any more. */
   gboolean resolved;   /* Covered, or given up. */
@@ -49,7 +51,10 @@
   uint64_t given_up_weight;
   uint32_t extra_requests;
   uint32_t replans;
+  int64_t started_us;
+  uint32_t overload_signs;  /* Attempts that were refused for load or waited long. */
   gboolean snapshot_missed; /* A shard was given up for lack of the snapshot. */
+  uint32_t bounce_at;       /* Of the attempts being sent; see jd_work_t. */
   gboolean handed;          /* Edit: an attempt was handed to the transport. */
   jd_ran_t ran;             /* Worst case over ended attempts. */
   jd_result_code_t failure; /* Last reason for giving up a shard. */
@@ -75,5 +80,7 @@
 /* Sends hedged requests and ends the query at its deadline. */
 void jd_query_tick (jd_query_t *query, int64_t now_us);
 int64_t jd_query_wake_us (const jd_query_t *query);
+/* Fraction of the shards at which an attempt was refused for load or waited long. */
+double jd_query_overload (const jd_query_t *query);
 /* Fills in the answer of a finished query; the hits stay with the query. */
 void jd_query_answer (jd_query_t *query, jd_answer_t *answer);
--- a/src/routing/query_defs.h
+++ b/src/routing/query_defs.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "routing/hedge_budget.h"
+#include "routing/overload_guard.h"
 #include "routing/planner.h"
 
 /* A caller's request after its key and rate were checked. */
@@ -44,6 +45,10 @@
 {
   const char *zone;
   jd_replica_policy_t replica_policy;
+  jd_replica_chooser_t chooser; /* For benchmarks; NULL: the policy. */
+  void *chooser_context;
+  gboolean bounce;     /* Let brokers send back what cannot start at once. */
+  gboolean shed_early; /* Refuse whole queries under overload; see overload_guard. */
   jd_hedge_mode_t hedge_mode;
   int64_t hedge_fixed_us;
   int64_t hedge_min_us;
@@ -72,6 +77,7 @@
   uint64_t attempts;
   uint64_t hedges;
   uint64_t retries;
+  uint64_t bounces; /* Sent to another replica because the first was busy. */
   uint64_t replans;
   uint64_t messages;
   uint64_t unknown_outcomes;  /* Late, repeated or never asked for. */
@@ -86,6 +92,7 @@
   jd_shard_map_t *map; /* Of the newest record; NULL when deleted. */
   jd_latency_tracker_t latency;
   jd_hedge_budget_t budget;
+  jd_overload_guard_t guard;
 } jd_service_view_t;
 
 /* What all queries of an entry share. */
--- a/src/routing/query_dispatch.c
+++ b/src/routing/query_dispatch.c
@@ -13,6 +13,7 @@
   attempt->id = env->next_attempt_id++;
   attempt->query = query;
   attempt->shard = shard;
+  attempt->replica = replica;
   attempt->target = map_shard->replicas[replica];
   attempt->broker = attempt->target->owner;
   attempt->sent_us = now_us;
@@ -54,6 +55,7 @@
     .map_version = query->map->map_version,
     .deadline_us = jd_broker_view_deadline (broker, query->deadline_us, now_us),
     .limit = query->limit,
+    .bounce_at = query->bounce_at,
     .text = query->text,
     .body = query->body,
     .body_bytes = query->body_bytes,
--- a/src/routing/target_table.c
+++ b/src/routing/target_table.c
@@ -97,6 +97,17 @@
     }
 }
 
+/* Takes the load of a target as its broker sees it. */
+void
+jd_entry_target_set_load (jd_entry_target_t *target, uint32_t limit, uint32_t load,
+                          int64_t now_us)
+{
+  target->status.limit = limit;
+  target->load = load;
+  target->load_us = now_us;
+  target->own_at_load = target->own_in_flight;
+}
+
 /* Takes a target_state message, which names all targets that the broker owns. */
 void
 jd_target_table_report (jd_target_table_t *table, jd_broker_view_t *broker,
@@ -111,7 +122,8 @@
       target->status = list[i];
       target->status.snapshot_count = MIN (list[i].snapshot_count, 4);
       target->status_us = now_us;
-      target->own_at_status = target->own_in_flight;
+      jd_entry_target_set_load (target, list[i].limit, list[i].in_flight + list[i].queued,
+                                now_us);
     }
   forget_owned_before (table, broker, now_us);
   broker->connected = TRUE;
--- a/src/routing/target_table.h
+++ b/src/routing/target_table.h
@@ -33,7 +33,9 @@
   gboolean leaving;
   jd_target_status_t status; /* As last reported by the owner. */
   int64_t status_us;
-  uint32_t own_at_status; /* Own attempts in flight when the status came. */
+  int64_t load_us;      /* Time of the newest load, by report or outcome. */
+  uint32_t load;        /* In flight and queued at the broker at that time. */
+  uint32_t own_at_load; /* Own attempts in flight at that time. */
   uint32_t own_in_flight;
   int64_t avoid_until_us; /* After a failure, other replicas go first. */
   jd_latency_tracker_t latency;
@@ -60,6 +62,9 @@
 void jd_target_table_report (jd_target_table_t *table, jd_broker_view_t *broker,
                              const jd_target_status_t *list, uint32_t count,
                              int64_t now_us);
+/* Takes the load that came with an outcome. */
+void jd_entry_target_set_load (jd_entry_target_t *target, uint32_t limit, uint32_t load,
+                               int64_t now_us);
 void jd_target_table_drop_broker (jd_target_table_t *table, jd_broker_view_t *broker);
 void jd_broker_view_set_clock (jd_broker_view_t *broker, int64_t clock_us,
                                int64_t now_us);
--- a/src/routing/work_defs.h
+++ b/src/routing/work_defs.h
@@ -31,6 +31,8 @@
   uint64_t map_version;
   int64_t deadline_us; /* Clock of the receiving broker. */
   uint32_t limit;      /* Most hits wanted. */
+  uint32_t bounce_at;  /* Refuse as JD_TARGET_BUSY what would have to wait for the end of
+                          this many attempts or more; 0: never. */
   char *text;          /* Query text of a search, entry id of a fetch or an edit. */
   char *body;          /* Body of an edit, else NULL. */
   uint32_t body_bytes;
@@ -54,8 +56,10 @@
   jd_result_code_t code;
   jd_ran_t ran;
   uint64_t snapshot;
-  int64_t service_us; /* From the write to the whole reply; 0 if nothing was sent. */
-  int64_t queue_us;   /* Wait at the broker. */
+  int64_t service_us;    /* From the write to the whole reply; 0 if nothing was sent. */
+  int64_t queue_us;      /* Wait at the broker. */
+  uint32_t target_limit; /* Attempts that the target may have in flight; 0: unknown. */
+  uint32_t target_load;  /* In flight and queued at the broker, without this one. */
   uint32_t hit_count;
   jd_hit_t *hits; /* Best first. */
 } jd_work_outcome_t;
--- a/test/random/test_query_rules.c
+++ b/test/random/test_query_rules.c
@@ -5,7 +5,7 @@
 #include "base/clock.h"
 #include "support/query_history.h"
 #include "support/test_main.h"
-#include "support/tier.h"
+#include "model/tier.h"
 
 #define RUN_US (5 * JD_US_PER_S)
 #define FIXED_SEEDS 30
--- a/test/support/query_history.c
+++ b/test/support/query_history.c
@@ -3,7 +3,7 @@
 #include <inttypes.h>
 #include <math.h>
 
-#include "support/tier.h"
+#include "model/tier.h"
 
 /* Hits of one shard; see model_target.c. */
 #define HITS_PER_SHARD 2
--- a/test/support/query_history.h
+++ b/test/support/query_history.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "routing/entry_core.h"
-#include "support/model_target.h"
+#include "model/model_target.h"
 
 /* Records requests, executions at targets and answers of a run, and checks them against
  * the rules of docs/design.md section 1.2. */
