--- a/bench/model/model_target.c
+++ b/bench/model/model_target.c
@@ -53,6 +53,13 @@
   return 1 + (uint32_t)(warmth (target) * (target->slots - 1));
 }
 
+/* Returns the factor by which a cold target is slower now. */
+double
+jd_model_target_slowdown (const jd_model_target_t *target)
+{
+  return 1.0 + (COLD_SLOWDOWN - 1.0) * (1.0 - warmth (target));
+}
+
 /* Returns the score of the best hit of a shard for a text. */
 double
 jd_model_score (const char *text, const char *shard)
@@ -149,7 +156,7 @@
   g_ptr_array_add (target->running, request);
   target->hooks.on_execute (target->hooks.context, request, target->running->len,
                             capacity);
-  double slowdown = 1.0 + (COLD_SLOWDOWN - 1.0) * (1.0 - warmth (target));
+  double slowdown = jd_model_target_slowdown (target);
   double service_us =
       (double)target->hooks.service_us (target->hooks.context, request) * slowdown;
   jd_sim_at (target->sim, MIN (now_us + (int64_t)service_us, request->deadline_us),
--- a/bench/model/model_target.h
+++ b/bench/model/model_target.h
@@ -64,6 +64,8 @@
                            const jd_model_hooks_t *hooks);
 void jd_model_target_clear (jd_model_target_t *target);
 uint32_t jd_model_target_capacity (const jd_model_target_t *target);
+/* Factor by which a cold target is slower now; 1 when warm. */
+double jd_model_target_slowdown (const jd_model_target_t *target);
 /* Takes a request; the target owns it afterwards. */
 void jd_model_target_receive (jd_model_target_t *target, jd_model_request_t *request);
 /* Stops a request. Returns whether it was running. */
--- a/bench/model/tier.c
+++ b/bench/model/tier.c
@@ -765,6 +765,27 @@
              NULL);
 }
 
+/* Returns the limit that the owner of a target applies to it now. */
+uint32_t
+jd_tier_target_limit (const jd_tier_t *tier, uint32_t index)
+{
+  const jd_model_target_t *target = &tier->targets[index];
+  if (target->owner >= tier->options.brokers)
+    return 0;
+  const jd_tier_broker_t *broker = &tier->brokers[target->owner];
+  GArray *states = g_array_new (FALSE, FALSE, sizeof (jd_target_status_t));
+  jd_broker_core_target_states (broker->core, broker_now_us (broker), states);
+  uint32_t limit = 0;
+  for (guint i = 0; i < states->len; i++)
+    {
+      const jd_target_status_t *state = &g_array_index (states, jd_target_status_t, i);
+      if (g_str_equal (state->target, target->name))
+        limit = state->limit;
+    }
+  g_array_free (states, TRUE);
+  return limit;
+}
+
 /* Returns the counts of an entry. */
 const jd_entry_counts_t *
 jd_tier_entry_counts (const jd_tier_t *tier, uint32_t entry)
--- a/bench/model/tier.h
+++ b/bench/model/tier.h
@@ -76,6 +76,8 @@
 void jd_tier_pause_broker (jd_tier_t *tier, uint32_t broker, int64_t duration_us);
 /* Moves a target to another broker, with the takeover wait in between. */
 void jd_tier_move_target (jd_tier_t *tier, uint32_t target, uint32_t broker);
+/* The limit that the owner of a target applies to it now; 0 without an owner. */
+uint32_t jd_tier_target_limit (const jd_tier_t *tier, uint32_t target);
 uint64_t jd_tier_weight (uint32_t shard);
 const jd_entry_counts_t *jd_tier_entry_counts (const jd_tier_t *tier, uint32_t entry);
 void jd_tier_load (const jd_tier_t *tier, uint64_t *first, uint64_t *extra);
--- a/src/routing/broker_core.c
+++ b/src/routing/broker_core.c
@@ -283,12 +283,13 @@
   core->callbacks.start_attempt (core->callbacks.context, &start);
 }
 
-/* Returns whether queued work can no longer end in time: half the median service time
- * must be left. */
+/* Returns whether queued work can hardly end in time: three quarters of the expected
+ * service time must be left. Starting it would take the slot from work that can. */
 static gboolean
 is_hopeless (const jd_broker_target_t *target, int64_t deadline_us, int64_t now_us)
 {
-  return now_us + target->gate.median_us / 2 >= deadline_us;
+  return now_us + jd_target_gate_expected_us (&target->gate, now_us) * 3 / 4 >=
+         deadline_us;
 }
 
 /* Ends expired work of a target and starts what its gate admits. */
@@ -580,7 +581,10 @@
       break;
     case JD_REPLY_TIMEOUT:
       if (!was_slow (attempt, now_us))
-        return;
+        {
+          jd_target_gate_stopped (&attempt->target->gate, sample.service_us, now_us);
+          return;
+        }
       sample.event = JD_GATE_TIMEOUT;
       break;
     case JD_REPLY_OK:
@@ -767,7 +771,9 @@
       int64_t deadline_us = 0;
       if (!jd_broker_queue_peek (target->queue, &deadline_us))
         continue;
-      wake_us = MIN (wake_us, deadline_us - target->gate.median_us / 2);
+      wake_us =
+          MIN (wake_us,
+               deadline_us - jd_target_gate_expected_us (&target->gate, now_us) * 3 / 4);
       if (target->gate.blocked_until_us > now_us)
         wake_us = MIN (wake_us, target->gate.blocked_until_us);
     }
--- a/src/routing/broker_target.c
+++ b/src/routing/broker_target.c
@@ -45,22 +45,23 @@
   return now_us < target->gate.blocked_until_us ? 1 : 0;
 }
 
-/* Estimates the end of new work from the learned median, the attempts that would go
- * first and a pause of the gate. Without a learned median it is now, so that nothing is
- * refused on a guess. */
+/* Estimates the end of new work from the expected service time, the attempts that would
+ * go first and a pause of the gate. Without an expected time it is now, so that nothing
+ * is refused on a guess. */
 int64_t
 jd_broker_target_estimate_us (const jd_broker_target_t *target, int64_t deadline_us,
                               int64_t now_us)
 {
   const jd_target_gate_t *gate = &target->gate;
+  int64_t expected_us = jd_target_gate_expected_us (gate, now_us);
   int64_t begin_us = MAX (now_us, gate->blocked_until_us);
   uint32_t limit = jd_target_gate_limit (gate, now_us);
   uint32_t before = gate->in_flight + jd_broker_queue_ahead (target->queue, deadline_us);
   if (before < limit)
-    return begin_us + gate->median_us;
+    return begin_us + expected_us;
   /* The attempts in flight are half done on average. */
   uint32_t rounds_twice = 2 * (before - limit) / limit + 1;
-  return begin_us + gate->median_us * rounds_twice / 2 + gate->median_us;
+  return begin_us + expected_us * rounds_twice / 2 + expected_us;
 }
 
 /* Fills in what entries are told about the target. */
--- a/src/routing/target_gate.c
+++ b/src/routing/target_gate.c
@@ -15,6 +15,17 @@
  * before shows that the target has stopped becoming faster. */
 #define STEADY_FRACTION 0.8
 
+/* Normal windows in a row before the limit doubles. One let 1 request in 6,000 through
+ * to a target that was within 3% of being warm (bench_tail cold 0 2). */
+#define NORMAL_WINDOWS 2
+
+/* Weight of a new service time in the mean of a cold phase. */
+#define COLD_WEIGHT 0.2
+/* Assumed service time of an attempt that was stopped, in times that it ran. */
+#define STOPPED_FACTOR 1.5
+
+#define COLD_HALF_LIFE_US (50 * JD_US_PER_MS)
+
 /* Two estimates of one boot time differ by network delay and clock drift, and by less
  * than any restart takes. */
 #define BOOT_TIME_SLACK_US (400 * JD_US_PER_MS)
@@ -32,7 +43,7 @@
     .slow_factor = 4.0,
     .silence_us = 500 * JD_US_PER_MS,
     .backoff_min_us = 10 * JD_US_PER_MS,
-    .backoff_max_us = JD_US_PER_S,
+    .backoff_max_us = 200 * JD_US_PER_MS,
     .infer_cold = TRUE,
   };
 }
@@ -81,7 +92,9 @@
   gate->limit = 1;
   gate->slow_count = 0;
   gate->window_count = 0;
+  gate->normal_windows = 0;
   gate->last_window_us = 0;
+  gate->cold_us = 0;
   gate->cold_since_us = now_us;
 }
 
@@ -107,6 +120,29 @@
   return gate->limit > gate->foreign ? gate->limit - gate->foreign : 1;
 }
 
+/* Returns the service time to expect: the recent mean of a cold target, which may be
+ * many times its learned median, else the median. The mean is halved for each
+ * COLD_HALF_LIFE_US without an attempt, since a target that gets no work because it is
+ * slow would else never show that it has become faster. */
+int64_t
+jd_target_gate_expected_us (const jd_target_gate_t *gate, int64_t now_us)
+{
+  if (!gate->cold || gate->cold_us <= 0)
+    return gate->median_us;
+  int64_t halvings = (now_us - gate->cold_at_us) / COLD_HALF_LIFE_US;
+  int64_t cold_us = (int64_t)gate->cold_us >> MIN (MAX (halvings, 0), 32);
+  return MAX (cold_us, gate->median_us);
+}
+
+/* Takes a service time of a cold target into the recent mean. */
+static void
+record_cold (jd_target_gate_t *gate, int64_t service_us, int64_t now_us)
+{
+  gate->cold_at_us = now_us;
+  double weight = gate->cold_us > 0 ? COLD_WEIGHT : 1.0;
+  gate->cold_us += weight * ((double)service_us - gate->cold_us);
+}
+
 /* Returns whether one more attempt may start now. */
 gboolean
 jd_target_gate_admits (const jd_target_gate_t *gate, int64_t now_us)
@@ -206,13 +242,18 @@
 /* Counts a reply of a cold target and doubles the limit after a window of normal ones
  * at the present limit. */
 static void
-advance_ramp (jd_target_gate_t *gate, const jd_gate_sample_t *sample)
+advance_ramp (jd_target_gate_t *gate, const jd_gate_sample_t *sample, int64_t now_us)
 {
+  record_cold (gate, sample->service_us, now_us);
   if (sample->started_us < gate->cold_since_us || sample->peak_in_flight < gate->limit)
     return;
   gate->window_us[gate->window_count++] = sample->service_us;
-  if (gate->window_count < JD_GATE_WINDOW || !judge_window (gate))
+  if (gate->window_count < JD_GATE_WINDOW)
+    return;
+  gate->normal_windows = judge_window (gate) ? gate->normal_windows + 1 : 0;
+  if (gate->normal_windows < NORMAL_WINDOWS)
     return;
+  gate->normal_windows = 0;
   gate->limit = MIN (2 * gate->limit, ceiling_of (gate));
   if (gate->limit == ceiling_of (gate))
     gate->cold = FALSE;
@@ -234,7 +275,7 @@
   learn_normal (gate, service_us);
 }
 
-/* Handles a shed reply, a failure or a timeout: back to one attempt, after a pause that
+/* Handles a shed reply or a failure: back to one attempt, after a pause that
  * doubles with each one in a row. */
 static void
 back_off (jd_target_gate_t *gate, int64_t now_us)
@@ -245,12 +286,40 @@
   gate->blocked_until_us = now_us + MIN (pause_us, gate->settings.backoff_max_us);
 }
 
+/* Takes the time of an attempt that was stopped before it ended. It is a lower bound of
+ * the service time; without it a target that has become slow would be given work that
+ * has little time left, and would end none of it. */
+void
+jd_target_gate_stopped (jd_target_gate_t *gate, int64_t ran_us, int64_t now_us)
+{
+  if (!gate->cold || ran_us <= jd_target_gate_expected_us (gate, now_us) / 2)
+    return;
+  gate->cold_us = MAX (gate->cold_us, STOPPED_FACTOR * (double)ran_us);
+  gate->cold_at_us = now_us;
+}
+
+/* Handles an attempt without a reply before its deadline. At one attempt at a time there
+ * is nothing to lower, and the slot is held until the target has stopped, so a pause
+ * would only lengthen a cold start: short deadlines are missed while it is slow. */
+static void
+take_timeout (jd_target_gate_t *gate, const jd_gate_sample_t *sample, int64_t now_us)
+{
+  if (!gate->cold || gate->limit > 1)
+    jd_target_gate_set_cold (gate, now_us);
+  jd_target_gate_stopped (gate, sample->service_us, now_us);
+}
+
 /* Takes the end of an attempt. Call before jd_target_gate_release. */
 void
 jd_target_gate_sample (jd_target_gate_t *gate, const jd_gate_sample_t *sample,
                        int64_t now_us)
 {
-  if (sample->event == JD_GATE_TIMEOUT || sample->event == JD_GATE_FAILED)
+  if (sample->event == JD_GATE_TIMEOUT)
+    {
+      take_timeout (gate, sample, now_us);
+      return;
+    }
+  if (sample->event == JD_GATE_FAILED)
     {
       back_off (gate, now_us);
       return;
@@ -272,7 +341,7 @@
     }
   gate->failure_count = 0;
   if (gate->cold)
-    advance_ramp (gate, sample);
+    advance_ramp (gate, sample, now_us);
   else
     watch_latency (gate, sample->service_us, now_us);
 }
--- a/src/routing/target_gate.h
+++ b/src/routing/target_gate.h
@@ -50,9 +50,12 @@
 typedef struct jd_target_gate
 {
   jd_gate_settings_t settings;
-  jd_latency_histogram_t normal;     /* Service times while warm. */
-  int64_t median_us;                 /* Of normal; 0 while unknown. */
-  int64_t last_window_us;            /* Median of the window before; 0: none. */
+  jd_latency_histogram_t normal; /* Service times while warm. */
+  int64_t median_us;             /* Of normal; 0 while unknown. */
+  uint32_t normal_windows;       /* In a row at the present limit. */
+  double cold_us;         /* Recent mean service time of this cold phase; 0: none. */
+  int64_t cold_at_us;     /* Time of the last change of cold_us. */
+  int64_t last_window_us; /* Median of the window before; 0: none. */
   int64_t window_us[JD_GATE_WINDOW]; /* Service times at the present limit. */
   uint32_t window_count;
   uint32_t in_flight;
@@ -80,7 +83,11 @@
 void jd_target_gate_set_health (jd_target_gate_t *gate, gboolean cold, int64_t now_us);
 uint32_t jd_target_gate_limit (const jd_target_gate_t *gate, int64_t now_us);
 gboolean jd_target_gate_admits (const jd_target_gate_t *gate, int64_t now_us);
+/* Service time to expect from the next attempt; 0 while nothing is known. */
+int64_t jd_target_gate_expected_us (const jd_target_gate_t *gate, int64_t now_us);
 void jd_target_gate_start (jd_target_gate_t *gate, int64_t now_us);
 void jd_target_gate_release (jd_target_gate_t *gate);
+/* An attempt that was stopped after this time without a reply. */
+void jd_target_gate_stopped (jd_target_gate_t *gate, int64_t ran_us, int64_t now_us);
 void jd_target_gate_sample (jd_target_gate_t *gate, const jd_gate_sample_t *sample,
                             int64_t now_us);
