--- a/src/transport/wire_read.c
+++ b/src/transport/wire_read.c
@@ -159,6 +159,7 @@
   ask->nonce = jd_wire_read_unsigned (reader, UINT64_MAX);
   ask->amount_microtokens = jd_wire_read_signed (reader);
   ask->asked_at_us = jd_wire_read_signed (reader);
+  ask->held_microtokens = jd_wire_read_signed (reader);
 }
 
 /* Reads a transfer of tokens. */
@@ -169,6 +170,7 @@
   grant->nonce = jd_wire_read_unsigned (reader, UINT64_MAX);
   grant->amount_microtokens = jd_wire_read_signed (reader);
   grant->echoed_asked_at_us = jd_wire_read_signed (reader);
+  grant->left_microtokens = jd_wire_read_signed (reader);
 }
 
 /* Reads the record versions of the sender. */
@@ -196,7 +198,7 @@
     [JD_MESSAGE_WORK] = 11,      [JD_MESSAGE_WORK_RESULT] = 3,
     [JD_MESSAGE_CANCEL] = 1,     [JD_MESSAGE_TARGET_STATE] = 2,
     [JD_MESSAGE_HEARTBEAT] = 4,  [JD_MESSAGE_HEARTBEAT_ACK] = 6,
-    [JD_MESSAGE_TOKEN_ASK] = 4,  [JD_MESSAGE_TOKEN_GRANT] = 4,
+    [JD_MESSAGE_TOKEN_ASK] = 5,  [JD_MESSAGE_TOKEN_GRANT] = 5,
     [JD_MESSAGE_DIGEST] = 2,     [JD_MESSAGE_RECORD_PUSH] = 2,
     [JD_MESSAGE_RECORD_ASK] = 1,
   };
--- a/test/unit/test_broker_core.c
+++ b/test/unit/test_broker_core.c
@@ -203,6 +203,23 @@
   jd_broker_core_free (fixture.core);
 }
 
+/* Guards against a cold target that stands idle while there is too much work: a missed
+ * deadline brings no pause, once the target has confirmed the cancellation. */
+static void
+a_timeout_brings_no_pause (void)
+{
+  fixture_t fixture;
+  set_up (&fixture);
+  work (&fixture, JD_WORK_SEARCH, 1, 1, 60000, 100);
+  CU_ASSERT (jd_broker_core_may_write (fixture.core, fixture.started[0], 100));
+  jd_broker_core_tick (fixture.core, 60000);
+  work (&fixture, JD_WORK_SEARCH, 2, 1, 400000, 60001);
+  CU_ASSERT_EQUAL (fixture.start_count, 1);
+  answer (&fixture, fixture.started[0], JD_REPLY_CANCEL_CONFIRMED, 0, 60002);
+  CU_ASSERT_EQUAL (fixture.start_count, 2);
+  jd_broker_core_free (fixture.core);
+}
+
 /* Guards against large messages and lost hits: outcomes that go out together keep the
  * best hits of both, 3 of 6, and both shards. */
 static void
@@ -247,6 +264,7 @@
       nearest_deadline_goes_first_and_expired_work_is_not_run },
     { "cancelled attempts hold their slot", cancelled_attempts_hold_their_slot },
     { "hopeless work is refused early", hopeless_work_is_refused_early },
+    { "a timeout brings no pause", a_timeout_brings_no_pause },
     { "partial merge keeps the best hits", partial_merge_keeps_the_best_hits },
     { "repeated work is dropped", repeated_work_is_dropped },
   };
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -64,10 +64,10 @@
       };
       break;
     case JD_MESSAGE_TOKEN_ASK:
-      message.token_ask = (jd_token_ask_t){ "hospital", 4, JD_MICROTOKENS, 6 };
+      message.token_ask = (jd_token_ask_t){ "hospital", 4, JD_MICROTOKENS, 6, 7 };
       break;
     case JD_MESSAGE_TOKEN_GRANT:
-      message.token_grant = (jd_token_grant_t){ "hospital", 4, JD_MICROTOKENS, 6 };
+      message.token_grant = (jd_token_grant_t){ "hospital", 4, JD_MICROTOKENS, 6, 8 };
       break;
     case JD_MESSAGE_DIGEST:
       message.digest = (jd_digest_t){ -1, 1, entries };
