perf(limits): make a tick independent of the number of organisations

Ruled out: fewer ticks; a message needs one at once. Conclusion: organisations with waiting requests are listed; the bench has tables of message growth and cost, and its arrivals end with the run.

--- a/bench/bench_rate.c
+++ b/bench/bench_rate.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 
 #include "base/clock.h"
+#include "rate/cost.h"
 #include "rate/growth.h"
 #include "rate/schemes.h"
 #include "limits/token_defs.h"
@@ -159,6 +160,7 @@
   if (argc > 1 && g_str_equal (argv[1], "growth"))
     {
       bench_print_growth ();
+      bench_print_cost ();
       return 0;
     }
   const bench_site_t sites[] = {
@@ -179,5 +181,6 @@
   for (unsigned i = 0; i < G_N_ELEMENTS (sites); i++)
     print_site (&sites[i], sites[i].burst_s < 2 && !all ? BENCH_CHOSEN : first);
   bench_print_growth ();
+  bench_print_cost ();
   return 0;
 }
--- a/bench/rate/arrivals.c
+++ b/bench/rate/arrivals.c
@@ -47,8 +47,9 @@
   double level_at_us = at_us;
   while (at_us < (double)traffic->until_us)
     {
-      double end_us = traffic->bursty ? at_us + exponential (&rng, PHASE_MEAN_US)
-                                      : (double)traffic->until_us;
+      double end_us = (double)traffic->until_us;
+      if (traffic->bursty)
+        end_us = fmin (end_us, at_us + exponential (&rng, PHASE_MEAN_US));
       while ((at_us += exponential (&rng, 1e6 / demand)) < end_us)
         {
           level = fmin (burst, level + rate * (at_us - level_at_us) / 1e6);
--- /dev/null
+++ b/bench/rate/cost.h
@@ -0,0 +1,3 @@
+#pragma once
+
+void bench_print_cost (void);
--- a/src/limits/organisation_limit.h
+++ b/src/limits/organisation_limit.h
@@ -21,7 +21,8 @@
   uint64_t refused;
   uint64_t waited;
   uint64_t grants_sent;
-  bool published; /* Used while a new record is applied. */
+  bool published; /* In the present record. */
+  bool listed;    /* Among the organisations with waiting requests. */
 } jd_organisation_limit_t;
 
 typedef enum jd_admission
--- a/src/limits/rate_limiter.c
+++ b/src/limits/rate_limiter.c
@@ -15,6 +15,7 @@
   jd_rate_actions_t actions;
   jd_rng_t rng;
   GPtrArray *organisations;
+  GPtrArray *waiting; /* Organisations that may have waiting requests. */
   GHashTable *by_name;
   jd_token_peers_t peers;
   jd_token_inbox_t inbox;
@@ -22,6 +23,8 @@
   int64_t valid_until_us;
   int64_t now_us; /* Latest reading. */
   uint32_t first_turn;
+  uint32_t asking; /* Organisations with recent demand, counted at asking_at_us. */
+  int64_t asking_at_us;
 };
 
 /* Returns the organisation at a position. */
@@ -63,8 +66,10 @@
   limiter->actions = *actions;
   limiter->rng = rng;
   limiter->organisations = g_ptr_array_new_with_free_func (jd_organisation_limit_free);
+  limiter->waiting = g_ptr_array_new ();
   limiter->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   limiter->now_us = INT64_MIN;
+  limiter->asking_at_us = INT64_MIN / 2;
   jd_token_inbox_init (&limiter->inbox);
   return limiter;
 }
@@ -74,6 +79,7 @@
 jd_rate_limiter_free (jd_rate_limiter_t *limiter)
 {
   g_hash_table_unref (limiter->by_name);
+  g_ptr_array_unref (limiter->waiting);
   g_ptr_array_unref (limiter->organisations);
   jd_token_inbox_clear (&limiter->inbox);
   g_free (limiter->peers.items);
@@ -110,6 +116,9 @@
 withdraw (jd_rate_limiter_t *limiter, jd_organisation_limit_t *organisation)
 {
   refuse_waiting (limiter, organisation);
+  if (organisation->listed)
+    g_ptr_array_remove_fast (limiter->waiting, organisation);
+  organisation->listed = false;
   jd_rate_share_set_rate (&organisation->share, limiter->now_us, (jd_share_rate_t){ 0 },
                           limiter->settings.raise_delay_us);
   return organisation->share.sent.count == 0;
@@ -182,10 +191,13 @@
     apply_shares (limiter, owned_shares);
 }
 
-/* Counts the organisations with recent demand, which share the ask budget. */
+/* Counts the organisations with recent demand, which share the ask budget. The count is
+ * kept for 100 ms, because it looks at all organisations. */
 static uint32_t
-count_asking (const jd_rate_limiter_t *limiter)
+count_asking (jd_rate_limiter_t *limiter)
 {
+  if (limiter->now_us - limiter->asking_at_us < 100000)
+    return limiter->asking;
   uint32_t asking = 0;
   for (uint32_t i = 0; i < limiter->organisations->len; i++)
     {
@@ -193,6 +205,8 @@
       asking += organisation->queue.count > 0 ||
                 limiter->now_us - organisation->demand.updated_at_us < JD_US_PER_S;
     }
+  limiter->asking = asking;
+  limiter->asking_at_us = limiter->now_us;
   return asking;
 }
 
@@ -253,6 +267,11 @@
     return JD_ADMISSION_REFUSED;
   jd_admission_t result =
       jd_organisation_limit_request (known, now_us, request_id, deadline_us);
+  if (result == JD_ADMISSION_WAITING && !known->listed)
+    {
+      known->listed = true;
+      g_ptr_array_add (limiter->waiting, known);
+    }
   if (result != JD_ADMISSION_REFUSED)
     ask_peers (limiter, known);
   return result;
@@ -323,11 +342,24 @@
   limiter->actions.send_grant (limiter->actions.context, from, &grant);
 }
 
+/* Removes organisations without waiting requests from the list. */
+static void
+unlist_idle (jd_rate_limiter_t *limiter)
+{
+  for (uint32_t i = limiter->waiting->len; i > 0; i--)
+    {
+      jd_organisation_limit_t *organisation = limiter->waiting->pdata[i - 1];
+      organisation->listed = organisation->queue.count > 0;
+      if (!organisation->listed)
+        g_ptr_array_remove_index_fast (limiter->waiting, i - 1);
+    }
+}
+
 /* Decides waiting requests in turns of the organisations. */
 static void
 serve_waiting (jd_rate_limiter_t *limiter)
 {
-  uint32_t count = limiter->organisations->len;
+  uint32_t count = limiter->waiting->len;
   bool decided = true;
   while (decided)
     {
@@ -337,7 +369,7 @@
           uint32_t index = (limiter->first_turn + turn / DECISIONS_PER_TURN) % count;
           jd_waiting_request_t request;
           jd_admission_t result;
-          if (!jd_organisation_limit_serve (organisation_at (limiter, index),
+          if (!jd_organisation_limit_serve (limiter->waiting->pdata[index],
                                             limiter->now_us, &request, &result))
             continue;
           decided = true;
@@ -346,6 +378,7 @@
         }
     }
   limiter->first_turn = count ? (limiter->first_turn + 1) % count : 0;
+  unlist_idle (limiter);
 }
 
 /* Acts on messages and on time. The reading must be taken after the last message was
@@ -368,12 +401,8 @@
       answer_ask (limiter, item->from, &item->ask);
     }
   jd_token_inbox_reset (inbox);
-  for (uint32_t i = 0; i < limiter->organisations->len; i++)
-    {
-      jd_organisation_limit_t *organisation = organisation_at (limiter, i);
-      if (organisation->queue.count > 0)
-        ask_peers (limiter, organisation);
-    }
+  for (uint32_t i = 0; i < limiter->waiting->len; i++)
+    ask_peers (limiter, limiter->waiting->pdata[i]);
 }
 
 /* Returns when the next tick is due, by the latest reading; INT64_MAX when only a call
@@ -384,9 +413,9 @@
   if (jd_token_inbox_count (&limiter->inbox) > 0)
     return limiter->now_us;
   int64_t next_us = INT64_MAX;
-  for (uint32_t i = 0; i < limiter->organisations->len; i++)
+  for (uint32_t i = 0; i < limiter->waiting->len; i++)
     next_us = MIN (next_us, jd_organisation_limit_next_wakeup_us (
-                                organisation_at (limiter, i), limiter->now_us));
+                                limiter->waiting->pdata[i], limiter->now_us));
   return next_us;
 }
 
--- a/test/random/test_rate_limit.c
+++ b/test/random/test_rate_limit.c
@@ -50,7 +50,7 @@
 {
   uint32_t seats = options->zones * options->seats_per_zone;
   double rate = options->organisations[organisation].rate_per_s;
-  uint64_t id = (uint64_t)organisation << 32;
+  uint64_t id = 0;
   int64_t at_us = 0;
   while (at_us < RUN_US)
     {
@@ -143,8 +143,8 @@
   bool kept = true;
   for (uint32_t i = 0; i < options.organisation_count; i++)
     {
-      jd_rate_verdict_t admitted = jd_rate_fleet_check (fleet, i);
-      jd_rate_verdict_t started = jd_rate_fleet_check_starts (fleet, i);
+      jd_rate_verdict_t admitted = jd_rate_fleet_check (fleet, i, false);
+      jd_rate_verdict_t started = jd_rate_fleet_check (fleet, i, true);
       kept = kept && admitted.kept && started.kept;
       if (print && !(admitted.kept && started.kept))
         printf ("\nseed %llu organisation %u: excess %.3f at %.6f s, of starts %.3f\n",
--- a/test/support/rate_fleet.c
+++ b/test/support/rate_fleet.c
@@ -14,6 +14,7 @@
 #define PUBLISH_EVERY_US 9000000
 #define SHARES_MAX 64
 #define SEATS_MAX 256
+#define ORGANISATION_SHIFT 48
 
 typedef enum event_kind
 {
@@ -90,7 +91,6 @@
   bool cut[SEATS_MAX]; /* Side of each seat. */
   jd_rate_history_t admitted[JD_FLEET_MAX_ORGANISATIONS];
   jd_rate_history_t started[JD_FLEET_MAX_ORGANISATIONS];
-  GHashTable *waiting; /* Request id to organisation. */
   int64_t now_us;
   uint64_t messages;
 };
@@ -194,12 +194,15 @@
   transmit (context, peer, (event_t){ .kind = EVENT_GRANT, .grant = *grant });
 }
 
-/* Records the end of a request. It counts as admitted at the clock reading; work that a
- * pause delays beyond the work bound is refused by its receiver. */
+/* Records the end of a request; a callback of the limiter, where the id carries the
+ * organisation. It counts as admitted at the clock reading; work that a pause delays
+ * beyond the work bound is refused by its receiver. */
 static void
-finish (process_t *process, uint64_t request_id, uint32_t organisation, bool admitted)
+decided (void *context, uint64_t request_id, bool admitted, int64_t decided_at_us)
 {
+  process_t *process = context;
   jd_rate_fleet_t *fleet = process->fleet;
+  uint64_t organisation = request_id >> ORGANISATION_SHIFT;
   if (admitted)
     {
       jd_rate_history_add (&fleet->admitted[organisation], process->read_at_us);
@@ -207,17 +210,9 @@
         jd_rate_history_add (&fleet->started[organisation], fleet->now_us);
     }
   if (fleet->options.decided)
-    fleet->options.decided (fleet->options.context, request_id, admitted, fleet->now_us);
-}
-
-/* Callback of the limiter. */
-static void
-decided (void *context, uint64_t request_id, bool admitted, int64_t decided_at_us)
-{
-  process_t *process = context;
-  gpointer found =
-      g_hash_table_lookup (process->fleet->waiting, GSIZE_TO_POINTER ((gsize)request_id));
-  finish (process, request_id, GPOINTER_TO_UINT (found), admitted);
+    fleet->options.decided (fleet->options.context,
+                            request_id - (organisation << ORGANISATION_SHIFT), admitted,
+                            fleet->now_us);
 }
 
 /* Gives a process the organisations of a configuration version. */
@@ -417,14 +412,11 @@
 {
   char name[16];
   g_snprintf (name, sizeof (name), "%u", event->organisation);
-  g_hash_table_insert (process->fleet->waiting,
-                       GSIZE_TO_POINTER ((gsize)event->request_id),
-                       GUINT_TO_POINTER (event->organisation));
-  jd_admission_t result = jd_rate_limiter_request (
-      process->limiter, now_us, event->request_id, name, now_us + WORK_BOUND_US);
+  uint64_t id = event->request_id + ((uint64_t)event->organisation << ORGANISATION_SHIFT);
+  jd_admission_t result = jd_rate_limiter_request (process->limiter, now_us, id, name,
+                                                   now_us + WORK_BOUND_US);
   if (result != JD_ADMISSION_WAITING)
-    finish (process, event->request_id, event->organisation,
-            result == JD_ADMISSION_ADMITTED);
+    decided (process, id, result == JD_ADMISSION_ADMITTED, now_us);
 }
 
 /* Forgets grants in flight where counting them is switched off. */
@@ -655,7 +647,6 @@
   fleet->rng = jd_philox_rng (&fleet->philox);
   fleet->processes = g_ptr_array_new_with_free_func (free_process);
   fleet->configs = g_array_new (FALSE, FALSE, sizeof (config_t));
-  fleet->waiting = g_hash_table_new (NULL, NULL);
   config_t config = { 0 };
   for (uint32_t i = 0; i < options->zones; i++)
     config.weights[i] = 1.0 / options->zones;
@@ -691,7 +682,6 @@
     }
   g_ptr_array_unref (fleet->processes);
   g_array_unref (fleet->configs);
-  g_hash_table_unref (fleet->waiting);
   g_sequence_free (fleet->events);
   g_free (fleet);
 }
@@ -750,19 +740,14 @@
   fleet->now_us = until_us;
 }
 
-/* Checks the admissions of an organisation by the clock readings that made them. */
-jd_rate_verdict_t
-jd_rate_fleet_check (jd_rate_fleet_t *fleet, uint32_t organisation)
-{
-  return jd_rate_history_check (&fleet->admitted[organisation]);
-}
-
-/* Checks by the true time of the start of work; the bound is wider by the work bound,
- * and takes the highest rate of the run. */
+/* Checks an organisation: its admissions by the clock readings that made them, or the
+ * true starts of its work, with a burst that is wider by the work bound, and the highest
+ * rate of the run. */
 jd_rate_verdict_t
-jd_rate_fleet_check_starts (jd_rate_fleet_t *fleet, uint32_t organisation)
+jd_rate_fleet_check (jd_rate_fleet_t *fleet, uint32_t organisation, bool starts)
 {
-  return jd_rate_history_check (&fleet->started[organisation]);
+  return jd_rate_history_check (starts ? &fleet->started[organisation]
+                                       : &fleet->admitted[organisation]);
 }
 
 /* Returns how many messages were sent. */
--- a/test/support/rate_fleet.h
+++ b/test/support/rate_fleet.h
@@ -65,7 +65,6 @@
                             uint32_t organisation, uint64_t request_id);
 void jd_rate_fleet_lose_host (jd_rate_fleet_t *fleet, uint32_t seat);
 void jd_rate_fleet_run (jd_rate_fleet_t *fleet, int64_t until_us);
-jd_rate_verdict_t jd_rate_fleet_check (jd_rate_fleet_t *fleet, uint32_t organisation);
-jd_rate_verdict_t jd_rate_fleet_check_starts (jd_rate_fleet_t *fleet,
-                                              uint32_t organisation);
+jd_rate_verdict_t jd_rate_fleet_check (jd_rate_fleet_t *fleet, uint32_t organisation,
+                                       bool starts);
 uint64_t jd_rate_fleet_messages (const jd_rate_fleet_t *fleet);
