test(limits): release shares without a gap in the random run

Cause: a process that announces its release lets a successor start at once; the random run had only moves with the takeover gap. Conclusion: rate_limiter.h says how a daemon drives the limiter.

--- a/src/limits/rate_limiter.h
+++ b/src/limits/rate_limiter.h
@@ -11,7 +11,23 @@
  * Times are readings of one monotonic clock. An admission counts at the reading that was
  * passed with the call that made it. Messages are only put aside by the on_token calls;
  * the next tick acts on them. Its reading must be taken after the last message was
- * handed over, because a reading from before a pause would let expired tokens in. */
+ * handed over, because a reading from before a pause would let expired tokens in.
+ *
+ * How an entry drives it:
+ * - on an adopted organisations or fleet record: set_organisations;
+ * - on a change of seats or of known share owners: set_peers, 16 of them at most in large
+ *   fleets, of which some in other zones;
+ * - on each renewal of the lease and change of ownership: set_shares, with the time until
+ *   which the lease is valid; 0 shares on loss. A lease that ends without a call discards
+ *   the tokens by itself;
+ * - on each request: request; on WAITING the decided callback follows;
+ * - on messages: on_token_ask or on_token_grant for each, then one tick with a new
+ * reading;
+ * - at next_wakeup_us, which changes with every call: tick;
+ * - before work is handed to the transport: drop it when the clock is past the reading of
+ *   its admission by work_bound or more;
+ * - on shutdown: set_shares with 0, then ticks until the clock reaches release_at_us,
+ * then the lease may announce the release. */
 typedef struct jd_rate_limiter jd_rate_limiter_t;
 
 /* Callbacks; none may call back into the limiter. */
--- a/test/support/rate_fleet.c
+++ b/test/support/rate_fleet.c
@@ -322,8 +322,8 @@
     }
 }
 
-/* Lets a process take free shares up to its part, and sometimes give one up. Returns
- * how many it owns. */
+/* Lets a process take free shares up to its part and give up others. Returns how many it
+ * owns. */
 static uint32_t
 settle_shares (process_t *process)
 {
@@ -346,7 +346,7 @@
     {
       share_t *share = &fleet->shares[zone][i];
       bool mine = share->owner == (int32_t)process->index;
-      if (mine && (owned > part || chance (fleet, fleet->options.trouble.restarted)))
+      if (mine && owned > part)
         {
           share->owner = -1;
           share->free_at_us = fleet->now_us + fleet->options.takeover_gap_us;
@@ -362,6 +362,25 @@
   return owned;
 }
 
+/* Makes a process give up all shares and announce it when its grants have expired; others
+ * take them from then on without a gap. */
+static void
+announce_release (process_t *process, int64_t now_us)
+{
+  jd_rate_fleet_t *fleet = process->fleet;
+  uint32_t zone = process->seat / fleet->options.seats_per_zone;
+  jd_rate_limiter_set_shares (process->limiter, now_us, 0, now_us);
+  int64_t fresh_us = reading (process, fleet->now_us);
+  int64_t release_us = jd_rate_limiter_release_at_us (process->limiter);
+  int64_t rest_us = release_us > fresh_us ? release_us - fresh_us + 100 : 0;
+  for (uint32_t i = 0; i < fleet->options.settings.shares_per_zone; i++)
+    {
+      share_t *share = &fleet->shares[zone][i];
+      if (share->owner == (int32_t)process->index)
+        *share = (share_t){ -1, fleet->now_us + rest_us };
+    }
+}
+
 /* Renews the lease of a process unless it is cut off or superseded. */
 static void
 renew (process_t *process, int64_t now_us)
@@ -377,6 +396,8 @@
   bool forever = fleet->options.off == JD_FLEET_LEASE_END_IGNORED;
   jd_rate_limiter_set_shares (process->limiter, now_us, owned,
                               forever ? INT64_MAX : now_us + LEASE_US);
+  if (chance (fleet, fleet->options.trouble.restarted))
+    announce_release (process, now_us);
 }
 
 /* Hands a message to the limiter. Credits it past the limiter's checks where those are
