test(routing): add unit tests of the small parts, rotate replicas per query

In the benchmark round robin always chose the same replica of a shard, because the number of shards is even. Ruled out: a rotation per shard, which would need state in the shard map for a policy that is there for comparison only. Conclusion: one test program per part; bench_tail takes the number of one table.

--- a/bench/bench_tail.c
+++ b/bench/bench_tail.c
@@ -1,7 +1,8 @@
 /* Tail latency, extra load and goodput of the routing policies, in a discrete-event run
  * of real entry and broker cores over model targets. The same seed gives all policies the
  * same arrivals and, for each request, shard and replica, the same service time.
- * Usage: bench_tail [tail|overload|cold] [QUERIES] [SEED] */
+ * Usage: bench_tail [tail|bound|overload|cold] [QUERIES] [SEED] [TABLE], where TABLE (1
+ * to 4) selects one table of the part "tail". */
 
 #include <gsl/gsl_cdf.h>
 #include <gsl/gsl_sort.h>
@@ -450,6 +451,56 @@
     }
 }
 
+/* Returns the probability that one service time is longer. */
+static double
+longer_than (const straggler_model_t *model, double time_us)
+{
+  if (time_us <= 0)
+    return 1.0;
+  double usual = gsl_cdf_ugaussian_Q (log (time_us / MEDIAN_US) / SIGMA);
+  double slow =
+      gsl_cdf_ugaussian_Q (log (time_us / (MEDIAN_US * model->request_factor)) / SIGMA);
+  return (1 - model->request_fraction) * usual + model->request_fraction * slow;
+}
+
+/* Returns the 99th percentile of a query without any wait for slots, when each attempt
+ * gets a second one after a delay: 0 gives the better of two, as the oracle does. */
+static double
+bound_p99_ms (const straggler_model_t *model, uint32_t shards, double delay_us)
+{
+  /* There and back between zones, and to the target. */
+  const double network_us = 1200;
+  double allowed = 1 - pow (0.99, 1.0 / shards);
+  double time_us = network_us;
+  for (double late = 1; late > allowed; time_us += 10)
+    late = longer_than (model, time_us - network_us) *
+           longer_than (model, time_us - network_us - delay_us);
+  return (time_us + CALLER_US) / 1000.0;
+}
+
+/* Prints what hedged requests can reach at best: idle targets, the same delay for all
+ * attempts, and 3% extra requests exactly. */
+static void
+print_bound (void)
+{
+  printf ("\nbest possible without queues, with 3%% extra requests\n");
+  printf ("%-16s %-7s %10s %12s %12s %6s\n", "stragglers", "shards", "delay ms",
+          "hedged p99", "oracle p99", "ratio");
+  for (int i = 0; i < 4; i++)
+    {
+      const straggler_model_t *model = &straggler_models[i / 2];
+      uint32_t shards = i % 2 ? 30 : 20;
+      double delay_us = 0;
+      while (longer_than (model, delay_us) > 0.03)
+        delay_us += 10;
+      /* The delay includes the network, as the entry sees it. */
+      double hedged_ms = bound_p99_ms (model, shards, delay_us + 1200);
+      double oracle_ms = bound_p99_ms (model, shards, 0);
+      printf ("%-16s %-7u %10.2f %12.2f %12.2f %6.2f\n", model->name, shards,
+              delay_us / 1000.0, hedged_ms, oracle_ms, hedged_ms / oracle_ms);
+    }
+}
+
 /* One run of a target that starts cold while there is more work than it can take. */
 typedef struct cold_run
 {
@@ -572,13 +623,16 @@
   uint32_t queries = argc > 2 ? (uint32_t)g_ascii_strtoull (argv[2], NULL, 10) : 20000;
   uint64_t seed = argc > 3 ? g_ascii_strtoull (argv[3], NULL, 10) : 1;
   gboolean all = g_str_equal (part, "all");
-  for (unsigned m = 0; m < 2 && (all || g_str_equal (part, "tail")); m++)
+  uint64_t table = argc > 4 ? g_ascii_strtoull (argv[4], NULL, 10) : 0;
+  for (unsigned t = 0; t < 4 && (all || g_str_equal (part, "tail")); t++)
     {
-      print_tail (seed, &straggler_models[m], 20, queries);
-      print_tail (seed, &straggler_models[m], 30, queries);
+      if (table == 0 || table == t + 1)
+        print_tail (seed, &straggler_models[t / 2], t % 2 ? 30 : 20, queries);
     }
   if (all || g_str_equal (part, "overload"))
     print_overload (seed, queries);
+  if (all || g_str_equal (part, "bound"))
+    print_bound ();
   if (all || g_str_equal (part, "cold"))
     print_cold (seed);
   return EXIT_SUCCESS;
--- a/src/routing/query.c
+++ b/src/routing/query.c
@@ -219,6 +219,9 @@
 plan_shards (jd_query_t *query, int64_t now_us)
 {
   uint32_t planned = 0;
+  /* With an even number of shards, a rotation over all attempts would give each shard the
+   * same replica in every query. */
+  query->env->planner.rotation += 1 - query->map->shard_count % 2;
   for (uint32_t s = 0; s < query->map->shard_count; s++)
     {
       if (try_replica (query, s, now_us))
--- /dev/null
+++ b/test/unit/test_target_table.c
@@ -0,0 +1,65 @@
+#include "routing/target_table.h"
+
+#include "base/clock.h"
+#include "base/rng.h"
+#include "support/test_main.h"
+
+/* Guards against work that a broker starts after the true deadline: with clocks that
+ * drift by up to 250 ppm each way and any age of the last clock value, the converted
+ * deadline is never later, and not much earlier. */
+static void
+deadlines_are_never_later (void)
+{
+  jd_philox_t state = { .seed = 9 };
+  jd_rng_t rng = jd_philox_rng (&state);
+  for (int i = 0; i < 10000; i++)
+    {
+      double entry_rate = 1.0 + 250e-6 * (2 * jd_rng_unit (&rng) - 1);
+      double broker_rate = 1.0 + 250e-6 * (2 * jd_rng_unit (&rng) - 1);
+      double stamped = (double)jd_rng_below (&rng, JD_US_PER_S);
+      double received = stamped + (double)jd_rng_below (&rng, 5000);
+      double now = received + (double)jd_rng_below (&rng, 5 * JD_US_PER_S);
+      double deadline = now + (double)jd_rng_below (&rng, JD_US_PER_S);
+      const double offset = 7e9;
+      jd_broker_view_t broker = { 0 };
+      jd_broker_view_set_clock (&broker, (int64_t)(offset + stamped * broker_rate),
+                                (int64_t)(received * entry_rate));
+      int64_t converted = jd_broker_view_deadline (
+          &broker, (int64_t)(deadline * entry_rate), (int64_t)(now * entry_rate));
+      double exact = offset + deadline * broker_rate;
+      CU_ASSERT ((double)converted <= exact + 2);
+      CU_ASSERT ((double)converted >= exact - 5000 - 0.001 * (deadline - stamped) - 2);
+    }
+}
+
+/* Guards against work for a broker that no longer owns a target, and for one whose clock
+ * is not known. */
+static void
+owners_follow_the_reports (void)
+{
+  jd_target_table_t table;
+  jd_target_table_init (&table);
+  jd_entry_target_t *target = jd_target_table_add (&table, "t0", "a");
+  jd_broker_view_t *first = jd_target_table_broker (&table, "b0");
+  jd_broker_view_t *second = jd_target_table_broker (&table, "b1");
+  jd_target_status_t status = { .target = "t0", .limit = 2, .in_flight = 1 };
+  jd_target_table_report (&table, first, &status, 1, 100);
+  CU_ASSERT_PTR_EQUAL (target->owner, first);
+  jd_target_table_report (&table, second, &status, 1, 200);
+  jd_target_table_report (&table, first, NULL, 0, 300);
+  CU_ASSERT_PTR_EQUAL (target->owner, second);
+  jd_target_table_report (&table, second, NULL, 0, 400);
+  CU_ASSERT_PTR_NULL (target->owner);
+  CU_ASSERT_EQUAL (jd_broker_view_deadline (first, 1000, 500), -1);
+  jd_target_table_clear (&table);
+}
+
+int
+main (void)
+{
+  const jd_test_case_t cases[] = {
+    { "deadlines are never later", deadlines_are_never_later },
+    { "owners follow the reports", owners_follow_the_reports },
+  };
+  return JD_TEST_RUN ("target_table", cases);
+}
