perf(routing): walk owned targets only

Cause: a broker may know all targets of its zone and an entry those of all zones; per event and per report both walked them all, 6,300 targets for each of 1,200 brokers at the design size. Ruled out: a timer per target, which the owned ones (about 5 per broker) do not need. Conclusion: the broker keeps a list of owned targets, the entry a list per broker.

--- a/src/routing/broker_core.c
+++ b/src/routing/broker_core.c
@@ -10,6 +10,7 @@
   jd_broker_callbacks_t callbacks;
   jd_broker_counts_t counts;
   GHashTable *targets;   /* name -> jd_broker_target_t */
+  GPtrArray *owned;      /* targets; only these have work */
   GHashTable *by_handle; /* handle -> attempt, all attempts */
   GHashTable *by_key;    /* (entry, attempt id) -> attempt, until answered */
   GHashTable *seen;      /* (entry, attempt id) -> deadline in microseconds */
@@ -76,6 +77,7 @@
   core->callbacks = *callbacks;
   core->targets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          (GDestroyNotify)jd_broker_target_free);
+  core->owned = g_ptr_array_new ();
   core->by_handle = g_hash_table_new (g_int64_hash, g_int64_equal);
   core->by_key = g_hash_table_new_full (key_hash, key_equal, g_free, NULL);
   core->seen = g_hash_table_new_full (key_hash, key_equal, g_free, g_free);
@@ -130,6 +132,7 @@
   for (uint32_t i = 0; i < core->ready->len; i++)
     jd_broker_batch_free (g_ptr_array_index (core->ready, i));
   g_hash_table_destroy (core->targets);
+  g_ptr_array_free (core->owned, TRUE);
   g_hash_table_destroy (core->by_handle);
   g_hash_table_destroy (core->by_key);
   g_hash_table_destroy (core->seen);
@@ -355,6 +358,10 @@
   gboolean held = target->owned && now_us < target->valid_until_us;
   if (owned && !held)
     jd_target_gate_set_cold (&target->gate, now_us);
+  if (owned && !target->owned)
+    g_ptr_array_add (core->owned, target);
+  else if (!owned && target->owned)
+    g_ptr_array_remove (core->owned, target);
   target->owned = owned;
   target->valid_until_us = valid_until_us;
   pump (core, target, now_us);
@@ -716,11 +723,8 @@
 {
   end_overdue (core, now_us);
   purge_seen (core, now_us);
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, core->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    pump (core, value, now_us);
+  for (uint32_t i = 0; i < core->owned->len; i++)
+    pump (core, g_ptr_array_index (core->owned, i), now_us);
 }
 
 /* Sends the collected outcomes of every batch. */
@@ -762,12 +766,9 @@
       if (attempt->state != JD_ATTEMPT_STARTED)
         wake_us = MIN (wake_us, attempt->deadline_us + margin_us);
     }
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, core->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (uint32_t i = 0; i < core->owned->len; i++)
     {
-      const jd_broker_target_t *target = value;
+      const jd_broker_target_t *target = g_ptr_array_index (core->owned, i);
       int64_t deadline_us = 0;
       if (!jd_broker_queue_peek (target->queue, &deadline_us))
         continue;
@@ -785,12 +786,9 @@
 jd_broker_core_target_states (const jd_broker_core_t *core, int64_t now_us,
                               GArray *states)
 {
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, core->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (uint32_t i = 0; i < core->owned->len; i++)
     {
-      const jd_broker_target_t *target = value;
+      const jd_broker_target_t *target = g_ptr_array_index (core->owned, i);
       if (jd_broker_target_usable (target, now_us) == JD_NOT_OWNER)
         continue;
       jd_target_status_t status;
--- a/src/routing/target_table.c
+++ b/src/routing/target_table.c
@@ -8,6 +8,7 @@
 free_broker (gpointer pointer)
 {
   jd_broker_view_t *broker = pointer;
+  g_ptr_array_free (broker->reported, TRUE);
   g_array_free (broker->outbox, TRUE);
   g_array_free (broker->cancels, TRUE);
   g_free (broker);
@@ -19,6 +20,7 @@
 {
   table->targets = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   table->zones = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  table->reports = 0;
   table->brokers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_broker);
 }
 
@@ -53,6 +55,7 @@
     return broker;
   broker = g_new0 (jd_broker_view_t, 1);
   g_strlcpy (broker->name, name, sizeof (broker->name));
+  broker->reported = g_ptr_array_new ();
   broker->outbox = g_array_new (FALSE, FALSE, sizeof (jd_work_item_t));
   broker->cancels = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_hash_table_insert (table->brokers, broker->name, broker);
@@ -81,20 +84,17 @@
   return target;
 }
 
-/* Forgets the owner of all targets of a broker that the last report did not name. */
+/* Forgets the owner of the targets of a broker that are not in the given report. */
 static void
-forget_owned_before (jd_target_table_t *table, const jd_broker_view_t *broker,
-                     int64_t reported_us)
+forget_others (jd_broker_view_t *broker, uint64_t report)
 {
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, table->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (uint32_t i = 0; i < broker->reported->len; i++)
     {
-      jd_entry_target_t *target = value;
-      if (target->owner == broker && target->status_us < reported_us)
+      jd_entry_target_t *target = g_ptr_array_index (broker->reported, i);
+      if (target->owner == broker && target->report != report)
         target->owner = NULL;
     }
+  g_ptr_array_set_size (broker->reported, 0);
 }
 
 /* Takes the load of a target as its broker sees it. */
@@ -108,24 +108,38 @@
   target->own_at_load = target->own_in_flight;
 }
 
+/* Takes one target of a report. */
+static void
+take_status (jd_target_table_t *table, jd_broker_view_t *broker,
+             const jd_target_status_t *status, int64_t now_us)
+{
+  jd_entry_target_t *target = jd_target_table_find (table, status->target);
+  if (!target)
+    return;
+  target->owner = broker;
+  target->report = table->reports;
+  target->status = *status;
+  target->status.snapshot_count = MIN (status->snapshot_count, 4);
+  target->status_us = now_us;
+  jd_entry_target_set_load (target, status->limit, status->in_flight + status->queued,
+                            now_us);
+}
+
 /* Takes a target_state message, which names all targets that the broker owns. */
 void
 jd_target_table_report (jd_target_table_t *table, jd_broker_view_t *broker,
                         const jd_target_status_t *list, uint32_t count, int64_t now_us)
 {
+  table->reports++;
+  for (uint32_t i = 0; i < count; i++)
+    take_status (table, broker, &list[i], now_us);
+  forget_others (broker, table->reports);
   for (uint32_t i = 0; i < count; i++)
     {
       jd_entry_target_t *target = jd_target_table_find (table, list[i].target);
-      if (!target)
-        continue;
-      target->owner = broker;
-      target->status = list[i];
-      target->status.snapshot_count = MIN (list[i].snapshot_count, 4);
-      target->status_us = now_us;
-      jd_entry_target_set_load (target, list[i].limit, list[i].in_flight + list[i].queued,
-                                now_us);
+      if (target)
+        g_ptr_array_add (broker->reported, target);
     }
-  forget_owned_before (table, broker, now_us);
   broker->connected = TRUE;
 }
 
@@ -133,7 +147,8 @@
 void
 jd_target_table_drop_broker (jd_target_table_t *table, jd_broker_view_t *broker)
 {
-  forget_owned_before (table, broker, INT64_MAX);
+  table->reports++;
+  forget_others (broker, table->reports);
   broker->connected = FALSE;
   broker->clock_us = 0;
 }
--- a/src/routing/target_table.h
+++ b/src/routing/target_table.h
@@ -20,6 +20,7 @@
   gboolean connected;
   int64_t clock_us;    /* Last clock value received; 0: none. */
   int64_t clock_at_us; /* Own time of its receipt. */
+  GPtrArray *reported; /* Targets of its last report. */
   GArray *outbox;      /* jd_work_item_t, while a message is being put together. */
   GArray *cancels;     /* uint64_t attempt ids, likewise. */
 } jd_broker_view_t;
@@ -33,6 +34,7 @@
   gboolean leaving;
   jd_target_status_t status; /* As last reported by the owner. */
   int64_t status_us;
+  uint64_t report;      /* Number of the report that named it last. */
   int64_t load_us;      /* Time of the newest load, by report or outcome. */
   uint32_t load;        /* In flight and queued at the broker at that time. */
   uint32_t own_at_load; /* Own attempts in flight at that time. */
@@ -48,6 +50,7 @@
   GHashTable *targets; /* id -> jd_entry_target_t */
   GHashTable *zones;   /* name -> jd_zone_view_t */
   GHashTable *brokers; /* name -> jd_broker_view_t */
+  uint64_t reports;    /* Number of reports so far. */
 } jd_target_table_t;
 
 void jd_target_table_init (jd_target_table_t *table);
