test(broker): let a timed-out attempt free its slot between sends

Cause: the test sent 12 searches within 12 ms after the first time-out; the target was cold (one slot), which the timed-out attempt holds for a margin of 20 ms, so all were refused. Ruled out: reuse of the silent connection; the log shows that no attempt was started. Conclusion: the sends are 50 ms apart, longer than the margin.

--- a/test/process/test_broker_daemon.c
+++ b/test/process/test_broker_daemon.c
@@ -121,6 +121,8 @@
       uint64_t id = jd_lab_send (&lab, 0, 0, JD_WORK_SEARCH, 300);
       CU_ASSERT (jd_lab_wait (&lab, id));
       last = lab.work[id].code;
+      /* A timed-out attempt keeps its slot for a margin, in which work is refused. */
+      jd_lab_run (&lab, 50);
     }
   CU_ASSERT_EQUAL (last, JD_OK);
   jd_lab_stop (&lab);
