perf(broker): follow only the targets of the own cell

Cause: the broker renewed the ownership of every target of its zone 20 times a second and kept a curl multi handle for each, which takes two descriptors. Ruled out: a longer renewal interval, which delays a takeover. Conclusion: connections exist only for owned targets.

--- a/src/daemons/broker_daemon.c
+++ b/src/daemons/broker_daemon.c
@@ -203,6 +203,7 @@
   broker->client = jd_target_client_new (&client);
   g_free (prefix);
   const jd_broker_targets_options_t targets = {
+    .seat = broker->options.seat,
     .zone = broker->options.zone,
     .store = broker->store,
     .core = broker->core,
--- a/src/daemons/broker_targets.c
+++ b/src/daemons/broker_targets.c
@@ -11,10 +11,12 @@
 #define PROBE_TIMEOUT_US (400 * JD_US_PER_MS)
 #define SERVICE_PREFIX "service."
 
-/* One target of the zone. */
+/* One target that the ownership gives to the own cell. */
 typedef struct zone_target
 {
   jd_name_t name;
+  char *address;
+  uint32_t connections;
   gboolean is_published;
   gboolean is_owned;
   int64_t probe_at_us;
@@ -30,13 +32,29 @@
   jd_counter_t *failed_probes;
 };
 
+/* The cells that share the targets of the zone. */
+typedef struct zone_cells
+{
+  const char *own;  /* NULL when the seat is in no cell of the zone. */
+  GPtrArray *names; /* Texts of the fleet record. */
+} zone_cells_t;
+
+/* Frees a target; also the destroy callback of the table. */
+static void
+free_target (gpointer data)
+{
+  zone_target_t *target = data;
+  g_free (target->address);
+  g_free (target);
+}
+
 /* Creates an empty list. */
 jd_broker_targets_t *
 jd_broker_targets_new (const jd_broker_targets_options_t *options)
 {
   jd_broker_targets_t *targets = g_new0 (jd_broker_targets_t, 1);
   targets->options = *options;
-  targets->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  targets->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_target);
   targets->owned_count = jd_counters_get (options->counters, "broker.targets_owned");
   targets->failed_probes = jd_counters_get (options->counters, "broker.probes_failed");
   return targets;
@@ -52,7 +70,39 @@
   g_free (targets);
 }
 
-/* Takes one published target of the zone. */
+/* Returns whether the ownership gives a target to the own cell. All others are left out:
+ * at the design size a zone has 1,260 targets and a cell about 50 of them. */
+static gboolean
+is_in_own_cell (const zone_cells_t *cells, const char *target)
+{
+  return cells->own &&
+         g_strcmp0 (jd_ownership_choose ((const char *const *)cells->names->pdata,
+                                         cells->names->len, target),
+                    cells->own) == 0;
+}
+
+/* Collects the broker cells of the zone; free the names with g_ptr_array_unref. */
+static zone_cells_t
+find_cells (const jd_broker_targets_t *targets, const jd_fleet_record_t *fleet)
+{
+  const char *zone = targets->options.zone;
+  zone_cells_t cells = { .names = g_ptr_array_new () };
+  if (!fleet)
+    return cells;
+  for (uint32_t i = 0; i < fleet->cell_count; i++)
+    {
+      if (fleet->cells[i].role == JD_ROLE_BROKER &&
+          strcmp (fleet->cells[i].zone, zone) == 0)
+        g_ptr_array_add (cells.names, fleet->cells[i].name);
+    }
+  const jd_cell_record_t *own =
+      jd_fleet_record_cell_of_seat (fleet, targets->options.seat);
+  if (own && own->role == JD_ROLE_BROKER && strcmp (own->zone, zone) == 0)
+    cells.own = own->name;
+  return cells;
+}
+
+/* Takes one published target of the cell. Only owned ones have connections. */
 static void
 publish (jd_broker_targets_t *targets, const jd_target_record_t *record, int64_t now_us)
 {
@@ -65,24 +115,30 @@
       g_hash_table_insert (targets->by_name, target->name, target);
     }
   target->is_published = TRUE;
+  target->connections = record->connections;
+  g_free (target->address);
+  target->address = g_strdup (record->address);
   jd_broker_core_set_target (options->core, record->id, record->slots,
                              record->connections, now_us);
-  jd_target_client_set_target (options->client, record->id, record->address,
-                               record->connections);
+  if (target->is_owned)
+    jd_target_client_set_target (options->client, target->name, target->address,
+                                 target->connections);
 }
 
-/* Takes the targets of one service that are in the own zone. */
+/* Takes the targets of one service that are in the own zone and cell. */
 static void
-publish_service (jd_broker_targets_t *targets, const jd_service_record_t *service,
-                 int64_t now_us)
+publish_service (jd_broker_targets_t *targets, const zone_cells_t *cells,
+                 const jd_service_record_t *service, int64_t now_us)
 {
   for (uint32_t i = 0; i < service->shard_count; i++)
     {
       const jd_shard_record_t *shard = &service->shards[i];
       for (uint32_t j = 0; j < shard->target_count; j++)
         {
-          if (strcmp (shard->targets[j].zone, targets->options.zone) == 0)
-            publish (targets, &shard->targets[j], now_us);
+          const jd_target_record_t *record = &shard->targets[j];
+          if (strcmp (record->zone, targets->options.zone) == 0 &&
+              is_in_own_cell (cells, record->id))
+            publish (targets, record, now_us);
         }
     }
 }
@@ -103,8 +159,6 @@
           (hosts && g_hash_table_contains (hosts->leaving_targets, target->name));
       jd_broker_core_set_leaving (targets->options.core, target->name, is_leaving,
                                   now_us);
-      if (!target->is_published)
-        jd_target_client_drop_target (targets->options.client, target->name);
     }
   if (hosts)
     jd_host_state_record_unref (hosts);
@@ -119,6 +173,8 @@
   g_hash_table_iter_init (&iter, targets->by_name);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     ((zone_target_t *)value)->is_published = FALSE;
+  jd_fleet_record_t *fleet = jd_config_store_fleet (targets->options.store);
+  zone_cells_t cells = find_cells (targets, fleet);
   char **names = jd_config_store_names (targets->options.store);
   for (uint32_t i = 0; names[i]; i++)
     {
@@ -128,10 +184,13 @@
           targets->options.store, names[i] + strlen (SERVICE_PREFIX));
       if (!service)
         continue;
-      publish_service (targets, service, now_us);
+      publish_service (targets, &cells, service, now_us);
       jd_service_record_unref (service);
     }
   g_strfreev (names);
+  g_ptr_array_unref (cells.names);
+  if (fleet)
+    jd_fleet_record_unref (fleet);
   mark_leaving (targets, now_us);
   targets->next_tick_us = now_us;
 }
@@ -144,10 +203,16 @@
   if (target->is_published)
     until_us = jd_node_owned_until_us (targets->options.node, target->name);
   gboolean is_owned = now_us < until_us;
+  /* The core may start work at once, so the client must know the target before. */
+  if (is_owned && !target->is_owned)
+    jd_target_client_set_target (targets->options.client, target->name, target->address,
+                                 target->connections);
   jd_broker_core_on_owned (targets->options.core, target->name, is_owned, until_us,
                            now_us);
   if (is_owned == target->is_owned)
     return;
+  if (!is_owned)
+    jd_target_client_drop_target (targets->options.client, target->name);
   target->is_owned = is_owned;
   target->probe_at_us = now_us;
   targets->owned += is_owned ? 1 : -1;
--- a/src/daemons/broker_targets.h
+++ b/src/daemons/broker_targets.h
@@ -15,6 +15,7 @@
 
 typedef struct jd_broker_targets_options
 {
+  const char *seat;
   const char *zone;
   jd_config_store_t *store;
   jd_broker_core_t *core;
