feat(broker): drain a seat that operators have published

Cause: jackdawctl drain wrote the hosts record, but a broker ignored its own seat in it. Ruled out: stopping the process; operators want to undrain without a restart. Conclusion: draining, then released when idle, then a new incarnation on return.

--- a/src/daemons/broker_daemon.c
+++ b/src/daemons/broker_daemon.c
@@ -81,6 +81,50 @@
     enter_phase (broker, JD_BROKER_STOPPED, "stopped");
 }
 
+/* Returns whether the hosts record asks this seat to drain. */
+static gboolean
+is_drain_published (const jd_broker_daemon_t *broker)
+{
+  jd_host_state_record_t *hosts = jd_config_store_hosts (broker->store);
+  if (!hosts)
+    return FALSE;
+  gboolean drained = g_hash_table_contains (hosts->draining_seats, broker->options.seat);
+  jd_host_state_record_unref (hosts);
+  return drained;
+}
+
+/* Begins or ends a drain that operators have published. */
+static void
+set_drained (jd_broker_daemon_t *broker, gboolean drained, int64_t now_us)
+{
+  if (drained == broker->is_drained)
+    return;
+  broker->is_drained = drained;
+  broker->has_released = FALSE;
+  broker->next_report_us = now_us;
+  jd_log_event (G_LOG_LEVEL_INFO, "seat_drain", "draining=%d open_attempts=%u", drained,
+                jd_broker_core_open_count (broker->core));
+  jd_operator_http_set_health (broker->http, drained ? JD_SHUTTING_DOWN : JD_OK);
+  if (!drained)
+    {
+      jd_node_reactivate (broker->node);
+      return;
+    }
+  jd_node_set_state (broker->node, JD_SEAT_DRAINING);
+  jd_broker_work_announce (broker);
+}
+
+/* Lets other brokers take the targets once a drained seat has nothing running. */
+static void
+release_when_idle (jd_broker_daemon_t *broker)
+{
+  if (!broker->is_drained || broker->has_released ||
+      jd_broker_core_open_count (broker->core) > 0)
+    return;
+  broker->has_released = TRUE;
+  jd_node_set_state (broker->node, JD_SEAT_RELEASED);
+}
+
 /* Applies records that were adopted since the last turn. */
 static void
 apply_records (jd_broker_daemon_t *broker, int64_t now_us)
@@ -89,8 +133,11 @@
     return;
   broker->has_new_records = FALSE;
   jd_broker_targets_reload (broker->targets, now_us);
-  if (broker->phase == JD_BROKER_RUNNING && jd_node_is_listed (broker->node))
-    jd_operator_http_set_health (broker->http, JD_OK);
+  if (broker->phase != JD_BROKER_RUNNING || !jd_node_is_listed (broker->node))
+    return;
+  jd_operator_http_set_health (broker->http,
+                               broker->is_drained ? JD_SHUTTING_DOWN : JD_OK);
+  set_drained (broker, is_drain_published (broker), now_us);
 }
 
 /* Returns how long the loop may wait, in milliseconds rounded up. */
@@ -122,6 +169,7 @@
   now_us = jd_node_now_us (broker->node);
   jd_broker_core_flush (broker->core, now_us);
   jd_broker_report_tick (broker, now_us);
+  release_when_idle (broker);
   if (broker->stop.received && broker->phase == JD_BROKER_RUNNING)
     begin_shutdown (broker);
   if (broker->phase != JD_BROKER_RUNNING)
--- a/src/daemons/broker_defs.h
+++ b/src/daemons/broker_defs.h
@@ -50,6 +50,8 @@
   jd_operator_http_t *http;
 
   jd_broker_phase_t phase;
+  gboolean is_drained;   /* The hosts record has this seat as draining. */
+  gboolean has_released; /* The drained seat has finished its work. */
   int64_t phase_since_us;
   int64_t drain_since_us;
 
--- a/src/daemons/broker_report.c
+++ b/src/daemons/broker_report.c
@@ -23,7 +23,7 @@
 current_states (const jd_broker_daemon_t *broker, int64_t now_us)
 {
   GArray *states = g_array_new (FALSE, FALSE, sizeof (jd_target_status_t));
-  if (broker->phase == JD_BROKER_RUNNING)
+  if (broker->phase == JD_BROKER_RUNNING && !broker->is_drained)
     jd_broker_core_target_states (broker->core, now_us, states);
   g_array_sort (states, compare_states);
   return states;
@@ -94,7 +94,7 @@
   json_t *root = json_pack (
       "{s:s, s:s, s:I, s:b, s:b, s:i, s:i, s:o}", "seat", broker->options.seat, "zone",
       broker->options.zone, "incarnation", (json_int_t)jd_node_incarnation (broker->node),
-      "draining", broker->phase != JD_BROKER_RUNNING, "lease_held",
+      "draining", broker->phase != JD_BROKER_RUNNING || broker->is_drained, "lease_held",
       now_us < jd_node_lease_until_us (broker->node), "entries",
       (int)jd_broker_entries_count (broker->entries), "open_attempts",
       (int)jd_broker_core_open_count (broker->core), "targets", targets);
--- a/src/daemons/broker_work.c
+++ b/src/daemons/broker_work.c
@@ -118,7 +118,7 @@
   g_strlcpy (ack->seat, broker->options.seat, sizeof (ack->seat));
   ack->incarnation = jd_node_incarnation (broker->node);
   ack->broker_clock_us = jd_node_now_us (broker->node);
-  ack->draining = broker->phase != JD_BROKER_RUNNING;
+  ack->draining = broker->phase != JD_BROKER_RUNNING || broker->is_drained;
   return message;
 }
 
@@ -186,7 +186,7 @@
   jd_counter_add (broker->counts.work_items, work->item_count);
   uint64_t entry =
       jd_broker_entries_find (broker->entries, origin, message->sender, now_us);
-  if (broker->phase >= JD_BROKER_REFUSING)
+  if (broker->phase >= JD_BROKER_REFUSING || broker->is_drained)
     {
       refuse_work (broker, origin, work, JD_SHUTTING_DOWN);
       return;
--- a/src/daemons/node.c
+++ b/src/daemons/node.c
@@ -492,6 +492,15 @@
     jd_lease_set_state (node->lease, state, jd_node_now_us (node));
 }
 
+/* Makes the seat active again under a higher incarnation. */
+void
+jd_node_reactivate (jd_node_t *node)
+{
+  if (node->lease)
+    jd_lease_reactivate (node->lease, (uint64_t)jd_wall_time_us () << 8,
+                         jd_node_now_us (node));
+}
+
 /* Returns the age of the last confirmation by the platform. */
 int64_t
 jd_node_platform_age_us (jd_node_t *node)
--- a/src/daemons/node.h
+++ b/src/daemons/node.h
@@ -63,6 +63,8 @@
 void jd_node_status (jd_node_t *node, json_t *array);
 /* What the lease tells the other seats about this one. */
 void jd_node_set_state (jd_node_t *node, jd_seat_state_t state);
+/* Returns to work after a drain, as a new incarnation of the seat in its cell. */
+void jd_node_reactivate (jd_node_t *node);
 /* Age of the last confirmation of the records by the platform, -1 for never; any
  * thread. */
 int64_t jd_node_platform_age_us (jd_node_t *node);
--- a/test/process/test_broker_daemon.c
+++ b/test/process/test_broker_daemon.c
@@ -183,6 +183,54 @@
   jd_lab_stop (&lab);
 }
 
+/* Publishes which seats drain. */
+static void
+publish_draining (jd_lab_t *lab, int version, const char *seats)
+{
+  char *url = g_strdup_printf ("http://127.0.0.1:%u/v1/records/hosts",
+                               jd_platform_port (lab->platform));
+  char *text =
+      g_strdup_printf ("{\"schema_version\":1,\"record_version\":%d,\"seats\":[%s],"
+                       "\"targets\":[]}",
+                       version, seats);
+  jd_http_reply_t reply = jd_http_call ("PUT", url, NULL, text, 3000);
+  CU_ASSERT_EQUAL (reply.status / 100, 2);
+  jd_http_reply_clear (&reply);
+  g_free (text);
+  g_free (url);
+}
+
+/* Guards against a drained seat that keeps its targets, leaves them unserved, or never
+ * gets them back. */
+static void
+drained_seat_hands_over_and_returns (void)
+{
+  static jd_lab_t lab;
+  CU_ASSERT_FATAL (jd_lab_start (&lab, 3));
+  int owner = jd_lab_owner (&lab, 0);
+  char *seat = g_strdup_printf ("{\"name\":\"b%d\",\"state\":\"draining\"}", owner);
+  publish_draining (&lab, 1, seat);
+  g_free (seat);
+  /* docs/design.md 4.10: 4 s from publication. */
+  for (int i = 0;
+       i < 400 && (jd_lab_owner (&lab, 0) == owner || jd_lab_owner (&lab, 0) < 0); i++)
+    jd_lab_run (&lab, 10);
+  int heir = jd_lab_owner (&lab, 0);
+  CU_ASSERT_FATAL (heir >= 0 && heir != owner);
+  uint64_t id = jd_lab_send (&lab, (uint32_t)heir, 0, JD_WORK_EDIT, 500);
+  CU_ASSERT (jd_lab_wait (&lab, id));
+  CU_ASSERT_EQUAL (lab.work[id].code, JD_OK);
+  uint64_t refused = jd_lab_send (&lab, (uint32_t)owner, 0, JD_WORK_EDIT, 500);
+  CU_ASSERT (jd_lab_wait (&lab, refused));
+  CU_ASSERT_EQUAL (lab.work[refused].code, JD_SHUTTING_DOWN);
+  CU_ASSERT_EQUAL (lab.work[refused].ran, JD_RAN_NO);
+  publish_draining (&lab, 2, "");
+  for (int i = 0; i < 600 && jd_lab_owner (&lab, 0) != owner; i++)
+    jd_lab_run (&lab, 10);
+  CU_ASSERT_EQUAL (jd_lab_owner (&lab, 0), owner);
+  jd_lab_stop (&lab);
+}
+
 /* Guards against targets that stay without a broker after a kill, and against two owners
  * at one time. */
 static void
@@ -258,6 +306,7 @@
     { "silent connections are replaced", silent_connections_are_replaced },
     { "foreign work is refused", foreign_work_is_refused },
     { "leaving target gets no work", leaving_target_gets_no_work },
+    { "drained seat hands over and returns", drained_seat_hands_over_and_returns },
     { "killed broker is replaced", killed_broker_is_replaced },
     { "released targets are taken over soon", released_targets_are_taken_over_soon },
   };
--- a/test/process/test_fleet.c
+++ b/test/process/test_fleet.c
@@ -26,6 +26,7 @@
 {
   return (jd_fleet_t){ .entries_per_zone = entries,
                        .brokers_per_zone = brokers,
+                       .shards = 4,
                        .rate_per_s = 10000,
                        .burst = 20000 };
 }
--- a/test/support/fleet.c
+++ b/test/support/fleet.c
@@ -96,7 +96,7 @@
       "{\"schema_version\":1,\"record_version\":1,\"name\":\"desk\",\"kind\":\"fan_out\","
       "\"deadline_ms\":500,\"slots\":2,\"connections\":25,\"hedge_quantile\":0.95,"
       "\"hedge_budget\":0.025,\"map_version\":1,\"shards\":[");
-  for (uint32_t i = 0; i < JD_FLEET_SHARDS; i++)
+  for (uint32_t i = 0; i < fleet->shards; i++)
     {
       g_string_append_printf (text, "%s{\"id\":\"s%u\",\"weight\":%u,\"targets\":[",
                               i ? "," : "", i, 100 * (i + 1));
@@ -111,7 +111,7 @@
                          "\"connections\":50,\"map_version\":1,\"shards\":["
                          "{\"id\":\"all\",\"weight\":1,\"targets\":[");
   for (uint32_t zone = 0; zone < JD_FLEET_ZONES; zone++)
-    append_target (fleet, text, zone, JD_FLEET_SHARDS);
+    append_target (fleet, text, zone, fleet->shards);
   g_string_append (text, "]}]}");
   jd_fleet_publish (fleet, "service.studio", text->str);
   g_string_free (text, TRUE);
@@ -157,7 +157,7 @@
                                            .timers = fleet->timers };
   fleet->platform = jd_platform_new (&platform, NULL);
   for (uint32_t zone = 0; zone < JD_FLEET_ZONES; zone++)
-    for (uint32_t i = 0; i < JD_FLEET_TARGETS; i++)
+    for (uint32_t i = 0; i <= fleet->shards; i++)
       {
         char *id = g_strdup_printf ("%s%u", zone_names[zone], i);
         const jd_target_options_t options = { .id = id,
@@ -254,6 +254,15 @@
   return ready == fleet->process_count;
 }
 
+/* Calls a function for every target. */
+static void
+for_all_targets (jd_fleet_t *fleet, void (*call) (jd_target_t *target))
+{
+  for (uint32_t zone = 0; zone < JD_FLEET_ZONES; zone++)
+    for (uint32_t i = 0; i <= fleet->shards; i++)
+      call (fleet->targets[zone][i]);
+}
+
 /* Stops everything. */
 uint32_t
 jd_fleet_stop (jd_fleet_t *fleet)
@@ -269,12 +278,10 @@
       jd_child_wait (process->pid, 5000);
     }
   jd_platform_stop (fleet->platform);
-  for (uint32_t i = 0; i < JD_FLEET_ZONES * JD_FLEET_TARGETS; i++)
-    jd_target_stop (fleet->targets[i / JD_FLEET_TARGETS][i % JD_FLEET_TARGETS]);
+  for_all_targets (fleet, jd_target_stop);
   jd_timer_queue_free (fleet->timers);
   jd_platform_free (fleet->platform);
-  for (uint32_t i = 0; i < JD_FLEET_ZONES * JD_FLEET_TARGETS; i++)
-    jd_target_free (fleet->targets[i / JD_FLEET_TARGETS][i % JD_FLEET_TARGETS]);
+  for_all_targets (fleet, jd_target_free);
   jd_execution_log_free (fleet->executions);
   return ended;
 }
@@ -343,7 +350,7 @@
 jd_fleet_zone_requests (jd_fleet_t *fleet, uint32_t zone)
 {
   uint64_t arrived = 0;
-  for (uint32_t i = 0; i < JD_FLEET_TARGETS; i++)
+  for (uint32_t i = 0; i <= fleet->shards; i++)
     {
       jd_http_reply_t reply = jd_http_get ("http://127.0.0.1:%u/executions",
                                            jd_target_port (fleet->targets[zone][i]));
@@ -353,3 +360,18 @@
     }
   return arrived;
 }
+
+/* Changes the conditions of all targets. */
+void
+jd_fleet_target_fault (jd_fleet_t *fleet, const char *json)
+{
+  for (uint32_t zone = 0; zone < JD_FLEET_ZONES; zone++)
+    for (uint32_t i = 0; i <= fleet->shards; i++)
+      {
+        char *url = g_strdup_printf ("http://127.0.0.1:%u/faults",
+                                     jd_target_port (fleet->targets[zone][i]));
+        jd_http_reply_t reply = jd_http_call ("POST", url, NULL, json, 3000);
+        jd_http_reply_clear (&reply);
+        g_free (url);
+      }
+}
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -8,9 +8,9 @@
 #include "support/http_call.h"
 
 #define JD_FLEET_ZONES 2
-#define JD_FLEET_SHARDS 4
+#define JD_FLEET_MAX_SHARDS 20
 /* Per zone one replica of each shard of service "desk", then one target of "studio". */
-#define JD_FLEET_TARGETS (JD_FLEET_SHARDS + 1)
+#define JD_FLEET_TARGETS (JD_FLEET_MAX_SHARDS + 1)
 #define JD_FLEET_SEATS 3
 #define JD_FLEET_KEY "X-Api-Key: fleet-key"
 
@@ -31,6 +31,7 @@
 {
   uint32_t entries_per_zone;
   uint32_t brokers_per_zone;
+  uint32_t shards;
   double rate_per_s;
   double burst;
   int64_t key_staleness_limit_ms; /* 0: the default of the entry. */
@@ -60,5 +61,7 @@
                                const char *id, const char *text);
 /* How often the edit with this text was executed. */
 int jd_fleet_executions (jd_fleet_t *fleet, const char *text);
+/* POST /faults of all targets. */
+void jd_fleet_target_fault (jd_fleet_t *fleet, const char *json);
 /* Requests that the targets of a zone have got so far. */
 uint64_t jd_fleet_zone_requests (jd_fleet_t *fleet, uint32_t zone);
