fix(entry): tell the limiter that the shares of peers are unknown

Cause: peers were set with 0 owned shares, so the limiter took them for empty; work that was admitted before a pause could go out in a later window. Ruled out: passing owner lists between entries; -1 makes the limiter learn from grants. Conclusion: shares of peers are -1, work older than the work bound is refused as not run, and the limiter's counters are shown.

--- a/src/daemons/entry_daemon.c
+++ b/src/daemons/entry_daemon.c
@@ -491,8 +491,9 @@
   daemon->node = jd_node_new (&node, error);
   if (!daemon->node)
     return FALSE;
-  daemon->limits = jd_entry_limits_new (daemon->node, daemon->store, options->seat,
-                                        options->zone, on_decided, daemon);
+  daemon->limits =
+      jd_entry_limits_new (daemon->node, daemon->store, options->seat, options->zone,
+                           daemon->counters, on_decided, daemon);
   jd_entry_routing_options_t routing = {
     .node = daemon->node,
     .store = daemon->store,
--- a/src/daemons/entry_limits.c
+++ b/src/daemons/entry_limits.c
@@ -3,7 +3,11 @@
 #include <string.h>
 
 #include "base/log_event.h"
+#include "limits/organisation_rates.h"
+#include "limits/rate_counters.h"
+#include "membership/lease_settings.h"
 
+#define COUNTERS_INTERVAL_US (500 * JD_US_PER_MS)
 /* Ownership changes with heartbeats, which are 200 ms apart. */
 #define SHARE_REFRESH_US (20 * JD_US_PER_MS)
 
@@ -20,6 +24,8 @@
   double zone_weight;
   uint32_t owned_shares;
   int64_t refreshed_us;
+  int64_t counted_us;
+  jd_counters_t *counters;
   gboolean releasing;
 };
 
@@ -41,24 +47,36 @@
   jd_node_send (limits->node, peer, &message);
 }
 
+/* Returns whether work that was admitted at a reading may still go out. A process that
+ * paused after the admission would otherwise start it in a later window. */
+static gboolean
+is_recent (const jd_entry_limits_t *limits, int64_t admitted_at_us)
+{
+  const jd_lease_settings_t lease = jd_lease_settings_default ();
+  return jd_node_now_us (limits->node) - admitted_at_us < lease.work_bound_us;
+}
+
 /* Decision callback of the limiter. */
 static void
 on_decided (void *context, uint64_t request_id, bool admitted, int64_t decided_at_us)
 {
   jd_entry_limits_t *limits = context;
-  limits->decided (limits->context, request_id, admitted);
+  limits->decided (limits->context, request_id,
+                   admitted && is_recent (limits, decided_at_us));
 }
 
 /* Creates a limiter without organisations and shares. */
 jd_entry_limits_t *
 jd_entry_limits_new (jd_node_t *node, jd_config_store_t *store, const char *seat,
-                     const char *zone, jd_limit_decided_t decided, void *context)
+                     const char *zone, jd_counters_t *counters,
+                     jd_limit_decided_t decided, void *context)
 {
   jd_entry_limits_t *limits = g_new0 (jd_entry_limits_t, 1);
   limits->node = node;
   limits->store = store;
   limits->seat = seat;
   limits->zone = zone;
+  limits->counters = counters;
   limits->decided = decided;
   limits->context = context;
   jd_rate_settings_t settings = jd_rate_settings_default ();
@@ -92,7 +110,8 @@
         {
           if (cell->seats[j].witness || strcmp (cell->seats[j].name, limits->seat) == 0)
             continue;
-          jd_token_peer_t peer = { .same_zone = strcmp (cell->zone, limits->zone) == 0 };
+          jd_token_peer_t peer = { .same_zone = strcmp (cell->zone, limits->zone) == 0,
+                                   .owned_shares = -1 };
           g_strlcpy (peer.name, cell->seats[j].name, sizeof (peer.name));
           g_array_append_val (peers, peer);
         }
@@ -109,18 +128,11 @@
   jd_organisation_record_t *record = jd_config_store_organisations (limits->store);
   if (!record)
     return;
-  jd_organisation_rate_t *rates =
-      g_new0 (jd_organisation_rate_t, record->organisation_count);
-  for (uint32_t i = 0; i < record->organisation_count; i++)
-    {
-      const jd_organisation_t *organisation = &record->organisations[i];
-      rates[i].name = organisation->id;
-      rates[i].share = jd_share_rate_of (organisation->rate_per_s, organisation->burst,
-                                         limits->zone_weight, limits->shares_per_zone);
-    }
-  jd_rate_limiter_set_organisations (limits->limiter, now_us, rates,
-                                     record->organisation_count);
-  g_free (rates);
+  GArray *rates =
+      jd_organisation_rates_new (record, limits->zone_weight, limits->shares_per_zone);
+  jd_rate_limiter_set_organisations (
+      limits->limiter, now_us, (const jd_organisation_rate_t *)rates->data, rates->len);
+  g_array_free (rates, TRUE);
   jd_organisation_record_unref (record);
 }
 
@@ -144,8 +156,12 @@
 jd_entry_limits_request (jd_entry_limits_t *limits, uint64_t request_id,
                          const char *organisation, int64_t deadline_us)
 {
-  return jd_rate_limiter_request (limits->limiter, jd_node_now_us (limits->node),
-                                  request_id, organisation, deadline_us);
+  int64_t now_us = jd_node_now_us (limits->node);
+  jd_admission_t admission = jd_rate_limiter_request (limits->limiter, now_us, request_id,
+                                                      organisation, deadline_us);
+  if (admission == JD_ADMISSION_ADMITTED && !is_recent (limits, now_us))
+    return JD_ADMISSION_REFUSED;
+  return admission;
 }
 
 /* Ends a wait for a token. */
@@ -191,6 +207,11 @@
                   limits->shares_per_zone);
   limits->owned_shares = owned;
   limits->refreshed_us = now_us;
+  if (now_us - limits->counted_us >= COUNTERS_INTERVAL_US)
+    {
+      limits->counted_us = now_us;
+      jd_rate_counters_update (limits->limiter, now_us, limits->counters);
+    }
   jd_rate_limiter_set_shares (limits->limiter, now_us, owned,
                               owned ? valid_until_us : now_us);
 }
--- a/src/daemons/entry_limits.h
+++ b/src/daemons/entry_limits.h
@@ -14,6 +14,7 @@
 
 jd_entry_limits_t *jd_entry_limits_new (jd_node_t *node, jd_config_store_t *store,
                                         const char *seat, const char *zone,
+                                        jd_counters_t *counters,
                                         jd_limit_decided_t decided, void *context);
 void jd_entry_limits_free (jd_entry_limits_t *limits);
 
