refactor(membership): remove two modules that no daemon used

Cause: drain and fleet_view repeated what entry_core, broker_daemon and node do; a newcomer would have looked for the owner of a drain in the wrong place. Ruled out: moving the daemons to them; the cores already hold this state with their other rules. Their unit tests go with them; the behaviour is tested in the fleet and broker tests. Conclusion: zones and targets are drained in entry_core, seats in broker_daemon.

--- a/test/unit/test_config_gossip.c
+++ b/test/unit/test_config_gossip.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "membership/fleet_view.h"
 #include "membership/platform_watch.h"
 #include "support/test_main.h"
 
@@ -83,12 +82,6 @@
   CU_ASSERT (!jd_platform_watch_is_watcher (&fleet, "s2", is_same_seat, NULL));
   CU_ASSERT (jd_platform_watch_is_watcher (&fleet, "s2", is_same_seat, names[0]));
   CU_ASSERT (!jd_platform_watch_is_watcher (&fleet, "s3", is_same_seat, names[0]));
-  jd_fleet_view_t *view = jd_fleet_view_new (&fleet, "s3");
-  CU_ASSERT_EQUAL (g_strv_length (view->seats), 1);
-  CU_ASSERT_EQUAL (g_strv_length (view->cells), 2);
-  CU_ASSERT_EQUAL (g_strv_length (view->brokers), 0);
-  CU_ASSERT_PTR_NULL (jd_fleet_view_new (&fleet, "s4"));
-  jd_fleet_view_free (view);
 }
 
 int
