--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -11,12 +11,19 @@
   return (int64_t)now.tv_sec * JD_US_PER_S + now.tv_nsec / 1000;
 }
 
-/* Clock callback for CLOCK_BOOTTIME, which also counts while the host is suspended,
- * so that leases expire during a suspend. */
+/* Returns CLOCK_BOOTTIME, which never steps and also counts while the host is suspended,
+ * so that time limits pass during a suspend. */
+int64_t
+jd_monotonic_us (void)
+{
+  return read_clock_us (CLOCK_BOOTTIME);
+}
+
+/* Clock callback; as jd_monotonic_us. Leases expire during a suspend. */
 static int64_t
 system_now_us (void *context)
 {
-  return read_clock_us (CLOCK_BOOTTIME);
+  return jd_monotonic_us ();
 }
 
 /* Returns the time of a clock in microseconds. */
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -14,4 +14,5 @@
 
 int64_t jd_clock_now_us (const jd_clock_t *clock);
 jd_clock_t jd_clock_system (void);
+int64_t jd_monotonic_us (void);
 int64_t jd_wall_time_us (void);
--- a/src/base/log_event.c
+++ b/src/base/log_event.c
@@ -1,12 +1,20 @@
 #include "base/log_event.h"
 
 #include <stdio.h>
+#include <unistd.h>
 
 #include "base/clock.h"
+#include "base/log_sink.h"
+
+/* Longer lines are cut. */
+#define LINE_BYTES_MAX 1024
+/* Room for the count of lines that were left out and the line end. */
+#define LINE_TAIL_BYTES 40
 
 static char *log_program;
 static char *log_seat;
 static GLogLevelFlags log_lowest_level = G_LOG_LEVEL_INFO;
+static jd_log_sink_t *log_sink; /* NULL: lines go to standard error. */
 
 /* Returns the name of a level in log lines. */
 static const char *
@@ -55,6 +63,42 @@
   g_log_set_writer_func (write_line, NULL, NULL);
 }
 
+/* Sends all log messages of this process to standard output as key=value lines, never
+ * waiting for its reader and with a bounded rate for each event. For programs that log
+ * from one thread. */
+void
+jd_log_install_stream (const char *host, GLogLevelFlags lowest_level)
+{
+  log_program = g_strdup ("jackdaw-host");
+  log_seat = g_strdup (host);
+  log_lowest_level = lowest_level;
+  log_sink = jd_log_sink_new (STDOUT_FILENO);
+}
+
+/* Writes one event to the sink. */
+static void
+write_to_sink (GLogLevelFlags level, const char *event, const char *format,
+               va_list arguments)
+{
+  uint32_t left_out = 0;
+  int64_t now_us = jd_wall_time_us ();
+  if (!jd_log_sink_admit (log_sink, event, jd_monotonic_us (), &left_out))
+    return;
+  char line[LINE_BYTES_MAX];
+  int size = g_snprintf (line, sizeof (line),
+                         "time=%" G_GINT64_FORMAT ".%06d level=%s host=%s event=%s ",
+                         now_us / JD_US_PER_S, (int)(now_us % JD_US_PER_S),
+                         level_name (level), log_seat, event);
+  size += g_vsnprintf (line + size, sizeof (line) - size - LINE_TAIL_BYTES, format,
+                       arguments);
+  size = MIN (size, (int)sizeof (line) - LINE_TAIL_BYTES - 1);
+  if (left_out > 0)
+    size += g_snprintf (line + size, sizeof (line) - size, " lines_left_out=%u",
+                        left_out);
+  line[size++] = '\n';
+  jd_log_sink_write (log_sink, line, size);
+}
+
 /* Logs one event. The format gives the key=value pairs; texts that may hold spaces go
  * through jd_log_quote. */
 void
@@ -64,6 +108,12 @@
     return;
   va_list arguments;
   va_start (arguments, format);
+  if (log_sink)
+    {
+      write_to_sink (level, event, format, arguments);
+      va_end (arguments);
+      return;
+    }
   char *pairs = g_strdup_vprintf (format, arguments);
   va_end (arguments);
   g_log_structured ("jackdaw", level, "MESSAGE", "event=%s %s", event, pairs);
--- /dev/null
+++ b/src/config/host_settings.c
@@ -0,0 +1,179 @@
+#include "config/host_settings.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log_event.h"
+#include "base/name.h"
+#include "config/settings.h"
+
+typedef struct jd_key_reader
+{
+  GKeyFile *file;
+  GError **error;
+  bool failed;
+} jd_key_reader_t;
+
+/* Reports the first bad key. */
+static void
+fail (jd_key_reader_t *reader, const char *group, const char *key, const char *value,
+      const char *expected)
+{
+  if (reader->failed)
+    return;
+  reader->failed = true;
+  g_set_error (reader->error, JD_SETTINGS_ERROR, 0, "[%s] %s=\"%s\": expected %s", group,
+               key, value ? value : "", expected);
+}
+
+/* Returns the trimmed value of a key, or NULL when it is absent or empty. */
+static char *
+read_optional (jd_key_reader_t *reader, const char *group, const char *key)
+{
+  char *value = g_key_file_get_string (reader->file, group, key, NULL);
+  if (value && *g_strstrip (value) != '\0')
+    return value;
+  g_free (value);
+  return NULL;
+}
+
+/* Returns a name of 1 to JD_NAME_SIZE - 1 bytes. */
+static char *
+read_name (jd_key_reader_t *reader, const char *group, const char *key)
+{
+  char *value = read_optional (reader, group, key);
+  if (!value || strlen (value) >= JD_NAME_SIZE || strpbrk (value, " \t\""))
+    fail (reader, group, key, value, "a name of 1 to 63 bytes without spaces");
+  return value;
+}
+
+/* Returns an "IP:port" address; NULL when an optional one is absent. */
+static char *
+read_address (jd_key_reader_t *reader, const char *group, const char *key, bool required)
+{
+  char *value = read_optional (reader, group, key);
+  if (!value && !required)
+    return NULL;
+  if (!value || !jd_settings_is_address (value))
+    fail (reader, group, key, value, "IP:port");
+  return value;
+}
+
+/* Returns a number of a range; the default when the key is absent. A negative default
+ * means that the key is required. */
+static double
+read_number (jd_key_reader_t *reader, const char *group, const char *key, double fallback,
+             double min, double max)
+{
+  char *value = read_optional (reader, group, key);
+  if (!value && fallback >= 0.0)
+    return fallback;
+  char *end = NULL;
+  double number = value ? g_ascii_strtod (value, &end) : 0.0;
+  if (!value || *end != '\0' || !(number >= min && number <= max))
+    {
+      char expected[96];
+      g_snprintf (expected, sizeof (expected), "a number from %g to %g", min, max);
+      fail (reader, group, key, value, expected);
+      number = min;
+    }
+  g_free (value);
+  return number;
+}
+
+/* Returns the list of seeds. */
+static char **
+read_seeds (jd_key_reader_t *reader)
+{
+  char *value = read_optional (reader, "peers", "seeds");
+  char **seeds = g_strsplit (value ? value : "", ",", -1);
+  for (char **seed = seeds; *seed; seed++)
+    {
+      if (!jd_settings_is_address (g_strstrip (*seed)))
+        fail (reader, "peers", "seeds", value, "IP:port with commas");
+    }
+  g_free (value);
+  return seeds;
+}
+
+/* Fills the settings from a loaded file. */
+static void
+read_all (jd_key_reader_t *reader, jd_host_settings_t *settings)
+{
+  settings->name = read_name (reader, "host", "name");
+  settings->zone = read_name (reader, "host", "zone");
+  settings->ip = read_name (reader, "host", "ip");
+  struct in_addr parsed;
+  if (settings->ip && inet_pton (AF_INET, settings->ip, &parsed) != 1)
+    fail (reader, "host", "ip", settings->ip, "a numeric IPv4 address");
+  settings->callers_address = read_address (reader, "listen", "callers", true);
+  settings->readiness_address = read_address (reader, "listen", "readiness", true);
+  settings->metrics_address = read_address (reader, "listen", "metrics", false);
+  settings->peer_port
+      = (uint16_t)read_number (reader, "listen", "peer-port", -1.0, 1.0, 65535.0);
+  settings->seeds = read_seeds (reader);
+  settings->store_address = read_address (reader, "store", "address", true);
+  settings->stop_grace_us
+      = (int64_t)(read_number (reader, "limits", "stop-grace-s", 6.0, 0.5, 3600.0)
+                  * (double)JD_US_PER_S);
+  settings->drain_us
+      = (int64_t)(read_number (reader, "limits", "drain-ms", 3000.0, 100.0, 600000.0)
+                  * (double)JD_US_PER_MS);
+  settings->config_us
+      = (int64_t)(read_number (reader, "limits", "config-ms", 3000.0, 100.0, 600000.0)
+                  * (double)JD_US_PER_MS);
+  settings->retry_slack
+      = (uint32_t)read_number (reader, "limits", "retry-slack", 0.0, 0.0, 1e6);
+  settings->cold_overage
+      = read_number (reader, "limits", "cold-overage", 1.0, 1.0, 100.0);
+  settings->cold_slack
+      = (uint32_t)read_number (reader, "limits", "cold-slack", 0.0, 0.0, 1e6);
+  settings->memory_mb
+      = (uint32_t)read_number (reader, "limits", "memory-mb", 256.0, 32.0, 1e7);
+  settings->max_descriptors
+      = (uint32_t)read_number (reader, "limits", "max-descriptors", 1024.0, 64.0, 1e7);
+  char *level = read_optional (reader, "log", "level");
+  settings->log_level = G_LOG_LEVEL_INFO;
+  if (level && !jd_log_parse_level (level, &settings->log_level))
+    fail (reader, "log", "level", level, "error, warning, info or debug");
+  g_free (level);
+}
+
+/* Reads and checks a settings file; NULL with an error that names the key, its value and
+ * what was expected. Unknown keys are ignored. */
+jd_host_settings_t *
+jd_host_settings_load (const char *path, GError **error)
+{
+  GKeyFile *file = g_key_file_new ();
+  if (!g_key_file_load_from_file (file, path, G_KEY_FILE_NONE, error))
+    {
+      g_key_file_free (file);
+      return NULL;
+    }
+  jd_host_settings_t *settings = g_new0 (jd_host_settings_t, 1);
+  jd_key_reader_t reader = { .file = file, .error = error };
+  read_all (&reader, settings);
+  g_key_file_free (file);
+  if (!reader.failed)
+    return settings;
+  jd_host_settings_free (settings);
+  return NULL;
+}
+
+/* Frees settings. */
+void
+jd_host_settings_free (jd_host_settings_t *settings)
+{
+  if (!settings)
+    return;
+  g_free (settings->name);
+  g_free (settings->zone);
+  g_free (settings->ip);
+  g_free (settings->callers_address);
+  g_free (settings->readiness_address);
+  g_free (settings->metrics_address);
+  g_strfreev (settings->seeds);
+  g_free (settings->store_address);
+  g_free (settings);
+}
--- /dev/null
+++ b/src/config/host_settings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Settings of jackdaw-host, read from a key file; docs/OPERATIONS.md lists the keys. */
+typedef struct jd_host_settings
+{
+  char *name;
+  char *zone;
+  char *ip;
+  char *callers_address;
+  char *readiness_address;
+  char *metrics_address; /* NULL: no metrics are served. */
+  uint16_t peer_port;
+  char **seeds;          /* "IP:port" of some hosts. */
+  char *store_address;
+  int64_t stop_grace_us; /* Between SIGTERM and SIGKILL. */
+  int64_t drain_us;      /* In which a leaving target must get nothing new. */
+  int64_t config_us;     /* In which a new configuration must be in force. */
+  uint32_t retry_slack;  /* Extra requests of all hosts that a service bears. */
+  double cold_overage;   /* By how much a cold target's rate may be exceeded. */
+  uint32_t cold_slack;
+  uint32_t memory_mb;
+  uint32_t max_descriptors;
+  GLogLevelFlags log_level;
+} jd_host_settings_t;
+
+jd_host_settings_t *jd_host_settings_load (const char *path, GError **error);
+void jd_host_settings_free (jd_host_settings_t *settings);
--- /dev/null
+++ b/src/daemons/host_defs.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "base/counters.h"
+#include "base/latency_histogram.h"
+#include "daemons/host.h"
+#include "limits/fleet_quota.h"
+#include "routing/fanout.h"
+#include "transport/caller_server.h"
+#include "daemons/record_source.h"
+#include "transport/peer_gossip.h"
+
+/* How a request ended, for counters. */
+typedef enum jd_host_end
+{
+  JD_HOST_END_SERVED,
+  JD_HOST_END_PARTIAL,
+  JD_HOST_END_TARGET_FAILURE, /* The failure of a target was passed on. */
+  JD_HOST_END_NOT_RUN,
+  JD_HOST_END_FAILED,
+  JD_HOST_END_TIMED_OUT,
+  JD_HOST_END_CALLER_LEFT,
+  JD_HOST_END_RATE_LIMITED,
+  JD_HOST_END_REJECTED, /* Bad request, unknown route or key. */
+  JD_HOST_END_OVERLOADED,
+  JD_HOST_END_COUNT,
+} jd_host_end_t;
+
+struct jd_host
+{
+  struct ev_loop *loop;
+  jd_host_platform_t platform;
+  char *name;
+  char *zone;
+  uint32_t ip;
+  uint16_t peer_port;
+  uint64_t incarnation;
+  int64_t stop_grace_us;
+  uint32_t retry_slack;
+  double cold_overage;
+  uint32_t cold_slack;
+  uint32_t max_requests;
+
+  jd_caller_server_t *callers;
+  jd_caller_server_t *readiness;
+  jd_caller_server_t *peer_server;
+  jd_caller_server_t *metrics;
+  jd_replica_registry_t *registry;
+  jd_replica_links_t *links;
+  jd_record_feed_t *feed;
+  jd_peer_table_t *peers;
+  jd_peer_gossip_t *gossip;
+  jd_fleet_quota_t *quota;
+  jd_route_table_t *routes; /* NULL until a configuration is known. */
+  uint32_t hosts;
+  uint32_t rank;
+  jd_record_source_t *source;
+  uint32_t salt;
+  GQueue requests; /* jd_request_t */
+
+  bool stopping;
+  int64_t stop_us;
+  ev_timer stop_timer;
+  ev_timer upkeep;
+
+  jd_counters_t *counters;
+  jd_counter_t *ends[JD_HOST_END_COUNT];
+  jd_counter_t *hedges;
+  jd_counter_t *retries;
+  jd_latency_histogram_t request_latency;
+  jd_latency_histogram_t attempt_latency;
+};
+
+/* Largest number of hosts assumed while no other host has been heard. */
+#define JD_HOSTS_UNHEARD 12
+
+const char *jd_host_end_name (jd_host_end_t end);
+void jd_host_take_request (void *context, jd_caller_t *caller,
+                           const jd_http_reader_t *reader);
+void jd_host_caller_gone (void *context, jd_caller_t *caller);
+void jd_host_answer_peer (void *context, jd_caller_t *caller,
+                          const jd_http_reader_t *reader);
+void jd_host_answer_readiness (void *context, jd_caller_t *caller,
+                               const jd_http_reader_t *reader);
+void jd_host_answer_metrics (void *context, jd_caller_t *caller,
+                             const jd_http_reader_t *reader);
--- /dev/null
+++ b/src/daemons/host_request.c
@@ -0,0 +1,504 @@
+#include "daemons/host_request.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log_event.h"
+
+/* How long the losing attempt of an idempotent request may go on after the answer. It
+ * outlasts the pauses of targets, 120 and 150 ms, so that connections are kept. */
+#define LINGER_US (300 * JD_US_PER_MS)
+/* Time limit of a request whose caller states none. */
+#define DEFAULT_DEADLINE_US (10 * JD_US_PER_S)
+/* When a rejected caller may return. Another host or replica often can serve it at once,
+ * so the first is short; a configuration takes longer to arrive. */
+#define RETRY_SOON_US (30 * JD_US_PER_MS)
+#define RETRY_UNREADY_US (250 * JD_US_PER_MS)
+#define RETRY_MAX_US (5 * JD_US_PER_S)
+#define KEY_BYTES_MAX 512
+
+static void on_request_timer (struct ev_loop *loop, ev_timer *timer, int events);
+
+/* Returns the name of an end in log lines and metrics. */
+const char *
+jd_host_end_name (jd_host_end_t end)
+{
+  static const char *const names[JD_HOST_END_COUNT] = {
+    [JD_HOST_END_SERVED] = "served",
+    [JD_HOST_END_PARTIAL] = "partial",
+    [JD_HOST_END_TARGET_FAILURE] = "target_failure",
+    [JD_HOST_END_NOT_RUN] = "not_run",
+    [JD_HOST_END_FAILED] = "failed",
+    [JD_HOST_END_TIMED_OUT] = "timed_out",
+    [JD_HOST_END_CALLER_LEFT] = "caller_left",
+    [JD_HOST_END_RATE_LIMITED] = "rate_limited",
+    [JD_HOST_END_REJECTED] = "rejected",
+    [JD_HOST_END_OVERLOADED] = "overloaded",
+  };
+  return names[end];
+}
+
+/* Returns the name of an outcome in log lines. */
+static const char *
+outcome_name (jd_replica_outcome_t outcome)
+{
+  static const char *const names[] = {
+    [JD_REPLICA_OK] = "ok",
+    [JD_REPLICA_SHED] = "shed",
+    [JD_REPLICA_ERROR] = "error",
+    [JD_REPLICA_BROKEN] = "broken",
+    [JD_REPLICA_UNREACHABLE] = "unreachable",
+    [JD_REPLICA_TIMED_OUT] = "timeout",
+    [JD_REPLICA_ABANDONED] = "abandoned",
+    [JD_REPLICA_REPLACED] = "replaced",
+  };
+  return names[outcome];
+}
+
+/* Answers a request before it was admitted. retry_after_us of 0 means none. */
+static void
+reject (jd_host_t *host, jd_caller_t *caller, const jd_http_reader_t *reader,
+        uint32_t status, jd_host_end_t end, const char *cause, int64_t retry_after_us)
+{
+  const char *id = jd_http_reader_value (reader, host->platform.fields.request_id);
+  jd_counter_add (host->ends[end], 1);
+  jd_log_event (G_LOG_LEVEL_INFO, "request_rejected",
+                "id=%s status=%u cause=%s retry_after_ms=%" G_GINT64_FORMAT
+                " config=%" G_GINT64_FORMAT " config_age_ms=%" G_GINT64_FORMAT,
+                id ? id : "-", status, cause, retry_after_us / JD_US_PER_MS,
+                host->routes ? host->routes->version : 0,
+                (jd_monotonic_us () - jd_record_feed_as_of_us (host->feed))
+                    / JD_US_PER_MS);
+  GString *fields = g_string_new (NULL);
+  if (retry_after_us > 0)
+    g_string_append_printf (fields, "Retry-After: %.3f\r\n",
+                            (double)MIN (retry_after_us, RETRY_MAX_US)
+                                / (double)JD_US_PER_S);
+  jd_caller_answer (caller, status, fields, "", 0);
+  g_string_free (fields, TRUE);
+}
+
+/* Frees a request that has ended. */
+static void
+request_free (jd_request_t *request)
+{
+  jd_host_t *host = request->host;
+  ev_timer_stop (host->loop, &request->timer);
+  g_queue_unlink (&host->requests, &request->node);
+  jd_fanout_free (request->fanout);
+  jd_outgoing_unref (request->outgoing);
+  jd_route_table_unref (request->table);
+  jd_top_records_free (request->records);
+  if (request->fields)
+    g_string_free (request->fields, TRUE);
+  if (request->body)
+    g_string_free (request->body, TRUE);
+  if (request->signatures)
+    g_string_free (request->signatures, TRUE);
+  g_free (request->exchanges);
+  g_free (request);
+}
+
+/* Withdraws the attempts that still run. A part of a search is short, and its
+ * connection is worth keeping; other work is stopped at once. */
+static void
+withdraw_attempts (jd_request_t *request)
+{
+  bool lingers = request->route->kind == JD_ROUTE_SCATTER;
+  uint32_t count = request->fanout->part_count * JD_FANOUT_TRIES_MAX;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      jd_exchange_t *exchange = request->exchanges[i];
+      request->exchanges[i] = NULL;
+      if (exchange)
+        jd_exchange_cancel (exchange, lingers ? LINGER_US : 0);
+    }
+}
+
+/* Logs and counts the end of a request. */
+static void
+note_end (jd_request_t *request, jd_host_end_t end, uint32_t status)
+{
+  jd_host_t *host = request->host;
+  const jd_fanout_t *fanout = request->fanout;
+  int64_t now_us = jd_monotonic_us ();
+  jd_counter_add (host->ends[end], 1);
+  jd_counter_add (host->hedges, fanout->hedges);
+  jd_counter_add (host->retries, fanout->retries);
+  jd_latency_histogram_record (&host->request_latency, now_us - request->arrived_us);
+  jd_log_event (
+      G_LOG_LEVEL_INFO, "request_done",
+      "id=%s route=%s tenant=%s end=%s status=%u ms=%.1f parts=%u/%u lost=%u hedges=%u "
+      "retries=%u left_ms=%" G_GINT64_FORMAT " config=%" G_GINT64_FORMAT
+      " config_age_ms=%" G_GINT64_FORMAT " usual_ms=%.1f",
+      request->outgoing->id, request->route->name,
+      request->tenant ? request->tenant : "-", jd_host_end_name (end), status,
+      (double)(now_us - request->arrived_us) / (double)JD_US_PER_MS, fanout->done_count,
+      fanout->part_count, fanout->lost_count, fanout->hedges, fanout->retries,
+      (fanout->deadline_us - now_us) / JD_US_PER_MS, request->table->version,
+      (now_us - jd_record_feed_as_of_us (host->feed)) / JD_US_PER_MS,
+      request->route->latency->median_us / (double)JD_US_PER_MS);
+}
+
+/* Sends the answer of a scattered request. */
+static void
+answer_scattered (jd_request_t *request)
+{
+  const jd_host_fields_t *names = &request->host->platform.fields;
+  GString *fields = g_string_new (NULL);
+  GString *body = g_string_new (NULL);
+  g_string_append_printf (fields, "%s: %s\r\n%s: %s\r\n%s: %u\r\n", names->request_id,
+                          request->outgoing->id, names->part_signatures,
+                          request->signatures->str, names->missing_parts,
+                          request->fanout->part_count - request->fanout->done_count);
+  jd_top_records_render (request->records, body);
+  jd_caller_answer (request->caller, 200, fields, body->str, body->len);
+  g_string_free (fields, TRUE);
+  g_string_free (body, TRUE);
+}
+
+/* Sends an answer of this host's own. */
+static void
+answer_plain (jd_request_t *request, uint32_t status, int64_t retry_after_us)
+{
+  GString *fields = g_string_new (NULL);
+  if (retry_after_us > 0)
+    g_string_append_printf (fields, "Retry-After: %.3f\r\n",
+                            (double)retry_after_us / (double)JD_US_PER_S);
+  jd_caller_answer (request->caller, status, fields, "", 0);
+  g_string_free (fields, TRUE);
+}
+
+/* Sends the answer that a verdict asks for. A failure that a target gave is passed on
+ * unless it was a refusal. */
+static void
+answer (jd_request_t *request, jd_fanout_verdict_t verdict)
+{
+  bool is_scattered = request->route->kind == JD_ROUTE_SCATTER;
+  bool has_reply = request->fields != NULL;
+  switch (verdict)
+    {
+    case JD_FANOUT_COMPLETE:
+    case JD_FANOUT_PARTIAL:
+      note_end (request,
+                verdict == JD_FANOUT_COMPLETE ? JD_HOST_END_SERVED : JD_HOST_END_PARTIAL,
+                is_scattered ? 200 : request->status);
+      if (is_scattered)
+        answer_scattered (request);
+      else
+        jd_caller_answer (request->caller, request->status, request->fields,
+                          request->body->str, request->body->len);
+      return;
+    case JD_FANOUT_FAILED:
+    case JD_FANOUT_TIMED_OUT:
+      if (has_reply)
+        {
+          note_end (request, JD_HOST_END_TARGET_FAILURE, request->status);
+          jd_caller_answer (request->caller, request->status, request->fields,
+                            request->body->str, request->body->len);
+          return;
+        }
+      if (verdict == JD_FANOUT_FAILED)
+        {
+          note_end (request, JD_HOST_END_FAILED, 502);
+          answer_plain (request, 502, 0);
+          return;
+        }
+      note_end (request, JD_HOST_END_TIMED_OUT, 504);
+      answer_plain (request, 504, 0);
+      return;
+    case JD_FANOUT_NOT_RUN:
+      note_end (request, JD_HOST_END_NOT_RUN, 503);
+      answer_plain (request, 503, RETRY_SOON_US);
+      return;
+    }
+}
+
+/* Fanout action: the request is over. */
+static void
+on_finish (void *context, jd_fanout_verdict_t verdict)
+{
+  jd_request_t *request = context;
+  jd_caller_set_data (request->caller, NULL);
+  withdraw_attempts (request);
+  answer (request, verdict);
+}
+
+/* Sets the timer to the next time at which the fanout has to decide. Frees a request
+ * that has ended. */
+static void
+advance (jd_request_t *request)
+{
+  int64_t now_us = jd_monotonic_us ();
+  int64_t wake_us = jd_fanout_tick (request->fanout, now_us);
+  if (request->fanout->finished)
+    {
+      request_free (request);
+      return;
+    }
+  ev_timer_stop (request->host->loop, &request->timer);
+  ev_timer_set (&request->timer,
+                (double)MAX (wake_us - now_us, 0) / (double)JD_US_PER_S, 0.0);
+  ev_timer_start (request->host->loop, &request->timer);
+}
+
+/* Timer callback of a request. */
+static void
+on_request_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  advance (timer->data);
+}
+
+/* Keeps the answer of a target to a request to one service. */
+static void
+keep_reply (jd_request_t *request, const jd_http_reader_t *reply)
+{
+  if (request->fields)
+    {
+      g_string_free (request->fields, TRUE);
+      g_string_free (request->body, TRUE);
+    }
+  request->status = reply->parser.status_code;
+  request->fields = jd_request_answer_fields (reply);
+  request->body = g_string_new_len (reply->body->str, (gssize)reply->body->len);
+}
+
+/* Takes the part of one shard into the answer. FALSE when it is no part. */
+static bool
+take_part (jd_request_t *request, const jd_http_reader_t *reply)
+{
+  const char *signature
+      = jd_http_reader_value (reply, request->host->platform.fields.target.signature);
+  if (!signature || reply->parser.status_code >= 300 || strchr (signature, ','))
+    return false;
+  jd_top_records_add (request->records, reply->body->str, reply->body->len);
+  if (request->signatures->len > 0)
+    g_string_append (request->signatures, ", ");
+  g_string_append (request->signatures, signature);
+  return true;
+}
+
+/* Link callback: an attempt has ended. */
+static void
+on_attempt_done (void *context, uint32_t tag, jd_replica_t *replica,
+                 const jd_exchange_result_t *result)
+{
+  jd_request_t *request = context;
+  jd_host_t *host = request->host;
+  uint32_t part = tag / JD_FANOUT_TRIES_MAX;
+  jd_replica_outcome_t outcome = result->outcome;
+  int64_t now_us = jd_monotonic_us ();
+  request->exchanges[tag] = NULL;
+  if (outcome == JD_REPLICA_OK && jd_fanout_wants (request->fanout, part))
+    {
+      if (request->route->kind != JD_ROUTE_SCATTER)
+        keep_reply (request, result->reply);
+      else if (!take_part (request, result->reply))
+        outcome = JD_REPLICA_ERROR;
+    }
+  else if (outcome == JD_REPLICA_ERROR && request->route->kind != JD_ROUTE_SCATTER
+           && jd_http_reader_value (result->reply, host->platform.fields.target.signature))
+    keep_reply (request, result->reply);
+  if (outcome == JD_REPLICA_OK)
+    {
+      jd_route_latency_record (request->route->latency, result->elapsed_us);
+      jd_latency_histogram_record (&host->attempt_latency, result->elapsed_us);
+    }
+  else
+    jd_log_event (G_LOG_LEVEL_INFO, "attempt_failed",
+                  "id=%s part=%u service=%s target=%s outcome=%s may_have_run=%d ms=%.1f",
+                  request->outgoing->id, part, replica->pool->service, replica->id,
+                  outcome_name (outcome), result->may_have_run,
+                  (double)result->elapsed_us / (double)JD_US_PER_MS);
+  jd_fanout_settle (request->fanout, part, tag % JD_FANOUT_TRIES_MAX, outcome,
+                    result->may_have_run, now_us);
+  if (request->fanout->finished)
+    request_free (request);
+}
+
+/* Fanout action: sends an attempt. */
+static bool
+on_send (void *context, uint32_t part, uint32_t attempt, jd_replica_t *replica)
+{
+  jd_request_t *request = context;
+  uint32_t tag = part * JD_FANOUT_TRIES_MAX + attempt;
+  jd_exchange_owner_t owner
+      = { .on_done = on_attempt_done, .context = request, .tag = tag };
+  if (attempt > 0)
+    jd_log_event (G_LOG_LEVEL_INFO, "attempt_added",
+                  "id=%s part=%u attempt=%u service=%s target=%s zone=%s slowness=%.2f "
+                  "failures=%.2f tokens=%.1f ms=%.1f",
+                  request->outgoing->id, part, attempt + 1, replica->pool->service,
+                  replica->id, replica->zone, replica->slowness, replica->failure_share,
+                  replica->pool->extra.tokens,
+                  (double)(jd_monotonic_us () - request->arrived_us)
+                      / (double)JD_US_PER_MS);
+  jd_exchange_t *exchange = jd_replica_links_send (
+      request->host->links, replica, request->outgoing,
+      (int64_t)request->route->latency->median_us, &owner);
+  request->exchanges[tag] = exchange;
+  return exchange != NULL;
+}
+
+/* Chooses the service of a weighted route so that the shares of the requests of this host
+ * follow the weights as closely as whole requests allow. */
+static const jd_route_part_t *
+choose_weighted (const jd_route_t *route)
+{
+  jd_route_part_t *best = NULL;
+  double total = 0.0;
+  for (guint i = 0; i < route->parts->len; i++)
+    {
+      jd_route_part_t *part = &g_array_index (route->parts, jd_route_part_t, i);
+      part->credit += part->weight;
+      total += part->weight;
+      if (!best || part->credit > best->credit)
+        best = part;
+    }
+  if (best)
+    best->credit -= total;
+  return best;
+}
+
+/* Starts the attempts of an admitted request. */
+static void
+start_request (jd_host_t *host, jd_caller_t *caller, const jd_http_reader_t *reader,
+               const jd_route_t *route, const char *tenant, int64_t deadline_us,
+               int64_t now_us)
+{
+  bool is_scattered = route->kind == JD_ROUTE_SCATTER;
+  jd_request_t *request = g_new0 (jd_request_t, 1);
+  request->host = host;
+  request->node.data = request;
+  request->caller = caller;
+  request->table = jd_route_table_ref (host->routes);
+  request->route = route;
+  request->tenant = tenant;
+  request->arrived_us = now_us;
+  request->outgoing = jd_request_outgoing (host, reader, host->routes, tenant);
+  request->outgoing->deadline_us = deadline_us;
+  const jd_route_part_t *parts = is_scattered ? (jd_route_part_t *)(void *)route->parts->data
+                                              : choose_weighted (route);
+  uint32_t part_count = is_scattered ? route->parts->len : 1;
+  jd_fanout_request_t wanted = {
+    .route = route,
+    .parts = parts,
+    .part_count = part_count,
+    .deadline_us = deadline_us,
+    .salt = host->salt++ * 2654435761U,
+  };
+  jd_fanout_actions_t actions
+      = { .send = on_send, .finish = on_finish, .context = request };
+  request->fanout = jd_fanout_new (&wanted, &actions, now_us);
+  request->exchanges = g_new0 (jd_exchange_t *, part_count * JD_FANOUT_TRIES_MAX);
+  if (is_scattered)
+    {
+      request->records = jd_top_records_new (route->top_k);
+      request->signatures = g_string_new (NULL);
+    }
+  ev_init (&request->timer, on_request_timer);
+  request->timer.data = request;
+  g_queue_push_tail_link (&host->requests, &request->node);
+  jd_caller_set_data (caller, request);
+  if (!jd_fanout_can_succeed (request->fanout, now_us))
+    {
+      jd_caller_set_data (caller, NULL);
+      answer (request, JD_FANOUT_NOT_RUN);
+      request_free (request);
+      return;
+    }
+  jd_fanout_start (request->fanout, now_us);
+  advance (request);
+}
+
+/* Returns the tenant of the key that came with a request, or NULL. */
+static const jd_tenant_t *
+find_tenant (const jd_host_t *host, const jd_http_reader_t *reader)
+{
+  const jd_host_fields_t *fields = &host->platform.fields;
+  const char *value = jd_http_reader_value (reader, fields->key);
+  size_t scheme_len = strlen (fields->key_scheme);
+  if (!value || g_ascii_strncasecmp (value, fields->key_scheme, scheme_len) != 0
+      || value[scheme_len] != ' ')
+    return NULL;
+  const char *key = value + scheme_len;
+  key += strspn (key, " ");
+  char trimmed[KEY_BYTES_MAX];
+  if (g_strlcpy (trimmed, key, sizeof (trimmed)) >= sizeof (trimmed))
+    return NULL;
+  return jd_route_table_tenant (host->routes, g_strchomp (trimmed));
+}
+
+/* Caller server callback: decides about a request and starts it. */
+void
+jd_host_take_request (void *context, jd_caller_t *caller, const jd_http_reader_t *reader)
+{
+  jd_host_t *host = context;
+  const jd_host_fields_t *fields = &host->platform.fields;
+  int64_t now_us = jd_monotonic_us ();
+  const char *host_name = jd_http_reader_value (reader, "Host");
+  const char *id = jd_http_reader_value (reader, fields->request_id);
+  if (!host_name || jd_http_reader_count (reader, "Host") != 1 || !id || *id == '\0'
+      || reader->parser.method == HTTP_CONNECT)
+    {
+      reject (host, caller, reader, 400, JD_HOST_END_REJECTED, "bad_request", 0);
+      return;
+    }
+  if (!host->routes)
+    {
+      reject (host, caller, reader, 503, JD_HOST_END_NOT_RUN, "no_configuration",
+              RETRY_UNREADY_US);
+      return;
+    }
+  size_t path_len = strcspn (reader->text->str, "?");
+  const jd_route_t *route
+      = jd_route_table_match (host->routes, host_name, reader->text->str,
+                              MIN (path_len, reader->target_len));
+  if (!route)
+    {
+      reject (host, caller, reader, 404, JD_HOST_END_REJECTED, "no_route", 0);
+      return;
+    }
+  const jd_tenant_t *tenant = find_tenant (host, reader);
+  if (!tenant && host->routes->has_tenants && !route->open)
+    {
+      reject (host, caller, reader, 401, JD_HOST_END_REJECTED, "unknown_key", 0);
+      return;
+    }
+  if (host->requests.length >= host->max_requests)
+    {
+      reject (host, caller, reader, 503, JD_HOST_END_OVERLOADED, "too_many_requests",
+              RETRY_SOON_US);
+      return;
+    }
+  int64_t retry_after_us = 0;
+  if (tenant
+      && !jd_fleet_quota_admit (host->quota, tenant->name, host->hosts, now_us,
+                                &retry_after_us))
+    {
+      reject (host, caller, reader, 429, JD_HOST_END_RATE_LIMITED, tenant->name,
+              retry_after_us);
+      return;
+    }
+  int64_t wait_ms = 0;
+  int64_t wait_us = DEFAULT_DEADLINE_US;
+  if (jd_http_reader_number (reader, fields->deadline_ms, &wait_ms))
+    wait_us = MIN (wait_ms, G_MAXINT32) * JD_US_PER_MS;
+  if (route->timeout_us > 0)
+    wait_us = MIN (wait_us, route->timeout_us);
+  start_request (host, caller, reader, route, tenant ? tenant->name : NULL,
+                 now_us + wait_us, now_us);
+}
+
+/* Caller server callback: the caller left, so its work is withdrawn. */
+void
+jd_host_caller_gone (void *context, jd_caller_t *caller)
+{
+  jd_request_t *request = jd_caller_data (caller);
+  if (!request)
+    return;
+  request->fanout->finished = true;
+  withdraw_attempts (request);
+  note_end (request, JD_HOST_END_CALLER_LEFT, 0);
+  request_free (request);
+}
--- /dev/null
+++ b/src/limits/fleet_quota.c
@@ -0,0 +1,259 @@
+#include "limits/fleet_quota.h"
+
+#include <math.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+/* The platform tolerates a quarter more than the rate over its window. Admitting a
+ * little more than the rate keeps requests within it from being refused. */
+#define RATE_MARGIN 1.06
+/* Demand is smoothed over about this time. */
+#define DEMAND_WINDOW_US (JD_US_PER_S)
+/* A host that is silent for longer than this is assumed to go on as it last told, because
+ * it may be cut off and still serve. */
+#define SILENCE_US (1500 * JD_US_PER_MS)
+#define SILENCE_MAX_US (20 * JD_US_PER_S)
+/* Below this part of the rate, hosts need not divide it. */
+#define PRESSURE 0.8
+#define HASH_SEED UINT64_C (0x71)
+
+typedef struct jd_quota_peer
+{
+  uint64_t incarnation;
+  uint64_t admitted;
+  double admitted_per_s;
+  double demand_per_s;
+  int64_t heard_us;
+  int64_t charged_us; /* Up to when silence was charged. */
+} jd_quota_peer_t;
+
+typedef struct jd_quota_tenant
+{
+  uint64_t hash;
+  double rate_per_s;
+  double burst;
+  double level;       /* Fleet-wide tokens as this host sees them. */
+  double local_level; /* Tokens of this host's share. */
+  int64_t refilled_us;
+  uint64_t admitted;
+  uint64_t reported;  /* Value of admitted in the last report. */
+  double demand_per_s;
+  int64_t demand_us;
+  GHashTable *peers;  /* host -> jd_quota_peer_t */
+} jd_quota_tenant_t;
+
+struct jd_fleet_quota
+{
+  GHashTable *by_hash; /* tenant hash -> jd_quota_tenant_t */
+};
+
+/* Frees a tenant's state. */
+static void
+free_tenant (gpointer data)
+{
+  jd_quota_tenant_t *tenant = data;
+  g_hash_table_destroy (tenant->peers);
+  g_free (tenant);
+}
+
+/* Creates a limiter without tenants. */
+jd_fleet_quota_t *
+jd_fleet_quota_new (void)
+{
+  jd_fleet_quota_t *quota = g_new0 (jd_fleet_quota_t, 1);
+  quota->by_hash
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_tenant);
+  return quota;
+}
+
+/* Frees a limiter. */
+void
+jd_fleet_quota_free (jd_fleet_quota_t *quota)
+{
+  g_hash_table_destroy (quota->by_hash);
+  g_free (quota);
+}
+
+/* Returns the state of a tenant, which is created when needed. */
+static jd_quota_tenant_t *
+find (jd_fleet_quota_t *quota, uint64_t hash, int64_t now_us)
+{
+  jd_quota_tenant_t *tenant = g_hash_table_lookup (quota->by_hash, &hash);
+  if (tenant)
+    return tenant;
+  tenant = g_new0 (jd_quota_tenant_t, 1);
+  tenant->hash = hash;
+  tenant->refilled_us = now_us;
+  tenant->demand_us = now_us;
+  tenant->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  g_hash_table_insert (quota->by_hash, &tenant->hash, tenant);
+  return tenant;
+}
+
+/* Sets a tenant's rate and burst; a rate of 0 means no limit. */
+void
+jd_fleet_quota_set (jd_fleet_quota_t *quota, const char *name, double rate_per_s,
+                    double burst, int64_t now_us)
+{
+  jd_quota_tenant_t *tenant = find (quota, jd_hash_text (name, HASH_SEED), now_us);
+  bool is_first = tenant->rate_per_s <= 0.0;
+  tenant->rate_per_s = rate_per_s;
+  tenant->burst = MAX (burst, 1.0);
+  if (is_first)
+    {
+      tenant->level = tenant->burst;
+      tenant->local_level = 1.0;
+    }
+  tenant->level = MIN (tenant->level, tenant->burst);
+}
+
+/* Lets the smoothed demand of this host fade to now. */
+static void
+fade_demand (jd_quota_tenant_t *tenant, int64_t now_us)
+{
+  int64_t age_us = now_us - tenant->demand_us;
+  if (age_us <= 0)
+    return;
+  tenant->demand_per_s *= exp (-(double)age_us / (double)DEMAND_WINDOW_US);
+  tenant->demand_us = now_us;
+}
+
+/* Charges what silent hosts are assumed to admit and returns the demand at all others. */
+static double
+charge_peers (jd_quota_tenant_t *tenant, int64_t now_us)
+{
+  double demand_per_s = 0.0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, tenant->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      jd_quota_peer_t *peer = value;
+      int64_t silent_us = now_us - peer->heard_us;
+      if (silent_us > SILENCE_MAX_US)
+        {
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
+      demand_per_s += peer->demand_per_s;
+      if (silent_us <= SILENCE_US)
+        continue;
+      double assumed = peer->admitted_per_s * (double)(now_us - peer->charged_us)
+                       / (double)JD_US_PER_S;
+      tenant->level -= assumed;
+      peer->charged_us = now_us;
+    }
+  return demand_per_s;
+}
+
+/* Fills the buckets up to now. */
+static void
+refill (jd_quota_tenant_t *tenant, double share, int64_t now_us)
+{
+  double elapsed_s = (double)MAX (now_us - tenant->refilled_us, 0) / (double)JD_US_PER_S;
+  double rate_per_s = tenant->rate_per_s * RATE_MARGIN;
+  tenant->refilled_us = now_us;
+  tenant->level = MIN (tenant->level + rate_per_s * elapsed_s, tenant->burst);
+  /* Debt beyond one burst is the error of reports, not of admissions. */
+  tenant->level = MAX (tenant->level, -tenant->burst);
+  tenant->local_level = MIN (tenant->local_level + rate_per_s * share * elapsed_s,
+                             MAX (tenant->burst * share, 1.0));
+}
+
+/* Decides about one request of a tenant now. hosts is the number of hosts that may
+ * serve; when refused, retry_after_us says when a token is due. */
+bool
+jd_fleet_quota_admit (jd_fleet_quota_t *quota, const char *name, uint32_t hosts,
+                      int64_t now_us, int64_t *retry_after_us)
+{
+  jd_quota_tenant_t *tenant = find (quota, jd_hash_text (name, HASH_SEED), now_us);
+  fade_demand (tenant, now_us);
+  tenant->demand_per_s += (double)JD_US_PER_S / (double)DEMAND_WINDOW_US;
+  *retry_after_us = 0;
+  if (tenant->rate_per_s <= 0.0)
+    {
+      tenant->admitted++;
+      return true;
+    }
+  double others_per_s = charge_peers (tenant, now_us);
+  double total_per_s = others_per_s + tenant->demand_per_s;
+  double share = MAX (tenant->demand_per_s / total_per_s, 0.25 / MAX (hosts, 1));
+  if (g_hash_table_size (tenant->peers) == 0)
+    share = 1.0 / MAX (hosts, 1);
+  refill (tenant, share, now_us);
+  bool pressed = total_per_s > tenant->rate_per_s * PRESSURE
+                 || g_hash_table_size (tenant->peers) == 0;
+  if (tenant->level >= 1.0 && (!pressed || tenant->local_level >= 1.0
+                               || tenant->level > tenant->burst * 0.5))
+    {
+      tenant->level -= 1.0;
+      tenant->local_level = MAX (tenant->local_level - 1.0, 0.0);
+      tenant->admitted++;
+      return true;
+    }
+  double missing = MAX (1.0 - tenant->level, 1.0 - tenant->local_level);
+  double rate_per_s = MAX (tenant->rate_per_s * share, 0.1);
+  *retry_after_us = (int64_t)(MAX (missing, 0.1) / rate_per_s * (double)JD_US_PER_S);
+  return false;
+}
+
+/* Takes what another host told of one tenant. */
+void
+jd_fleet_quota_take_report (jd_fleet_quota_t *quota, uint64_t host, uint64_t incarnation,
+                            const jd_quota_report_t *report, int64_t now_us)
+{
+  jd_quota_tenant_t *tenant = find (quota, report->tenant_hash, now_us);
+  jd_quota_peer_t *peer = g_hash_table_lookup (tenant->peers, &host);
+  if (!peer)
+    {
+      peer = g_new0 (jd_quota_peer_t, 1);
+      peer->incarnation = incarnation;
+      peer->admitted = report->admitted;
+      peer->heard_us = now_us;
+      g_hash_table_insert (tenant->peers, g_memdup2 (&host, sizeof (host)), peer);
+    }
+  /* A new process counts from 0. A report that was overtaken is older and counts less. */
+  uint64_t before = peer->incarnation == incarnation ? peer->admitted : 0;
+  uint64_t admitted = report->admitted > before ? report->admitted - before : 0;
+  int64_t silent_us = now_us - peer->heard_us;
+  double charged
+      = silent_us > SILENCE_US ? peer->admitted_per_s
+                                     * (double)(peer->charged_us - peer->heard_us - SILENCE_US)
+                                     / (double)JD_US_PER_S
+                               : 0.0;
+  tenant->level -= MAX ((double)admitted - MAX (charged, 0.0), 0.0);
+  if (silent_us > 0)
+    peer->admitted_per_s = (double)admitted * (double)JD_US_PER_S / (double)silent_us;
+  peer->incarnation = incarnation;
+  peer->admitted = MAX (report->admitted, before);
+  peer->demand_per_s = report->demand_per_s;
+  peer->heard_us = now_us;
+  peer->charged_us = now_us + SILENCE_US;
+}
+
+/* Fills in what this host tells the others: the tenants that asked for anything since
+ * the last report, or whose demand is still fading. Returns the number of reports. */
+uint32_t
+jd_fleet_quota_reports (jd_fleet_quota_t *quota, jd_quota_report_t *reports, uint32_t max,
+                        int64_t now_us)
+{
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, quota->by_hash);
+  while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      jd_quota_tenant_t *tenant = value;
+      fade_demand (tenant, now_us);
+      if (tenant->admitted == tenant->reported && tenant->demand_per_s < 0.05)
+        continue;
+      tenant->reported = tenant->admitted;
+      reports[count++] = (jd_quota_report_t){
+        .tenant_hash = tenant->hash,
+        .admitted = tenant->admitted,
+        .demand_per_s = tenant->demand_per_s,
+      };
+    }
+  return count;
+}
--- /dev/null
+++ b/src/limits/fleet_quota.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Keeps each tenant within its rate over all hosts. Hosts tell one another how much they
+ * have admitted; between reports each admits its share of the demand. */
+typedef struct jd_fleet_quota jd_fleet_quota_t;
+
+/* What one host tells the others of one tenant. */
+typedef struct jd_quota_report
+{
+  uint64_t tenant_hash;
+  uint64_t admitted;     /* Since the start of the host's process. */
+  double demand_per_s;   /* Requests that arrived, admitted or not. */
+} jd_quota_report_t;
+
+jd_fleet_quota_t *jd_fleet_quota_new (void);
+void jd_fleet_quota_free (jd_fleet_quota_t *quota);
+void jd_fleet_quota_set (jd_fleet_quota_t *quota, const char *tenant, double rate_per_s,
+                         double burst, int64_t now_us);
+bool jd_fleet_quota_admit (jd_fleet_quota_t *quota, const char *tenant, uint32_t hosts,
+                           int64_t now_us, int64_t *retry_after_us);
+void jd_fleet_quota_take_report (jd_fleet_quota_t *quota, uint64_t host,
+                                 uint64_t incarnation, const jd_quota_report_t *report,
+                                 int64_t now_us);
+uint32_t jd_fleet_quota_reports (jd_fleet_quota_t *quota, jd_quota_report_t *reports,
+                                 uint32_t max, int64_t now_us);
--- /dev/null
+++ b/src/membership/peer_table.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/name.h"
+
+/* What a host tells the others about itself. */
+typedef struct jd_peer_state
+{
+  uint32_t ip;          /* IPv4 address in host byte order; identifies the host. */
+  uint64_t incarnation; /* Random for each start of its process. */
+  uint64_t sequence;    /* Counts its messages. */
+  jd_name_t name;
+  jd_name_t zone;
+  bool leaving;         /* It is shutting down. */
+  bool reads_store;     /* It reads the platform's store itself, with success. */
+  int64_t feed_revision; /* Revision up to which it knows the published records. */
+  int64_t changed_revision; /* Of the last change of a record that matters. */
+  int64_t feed_age_us;  /* How old that knowledge was when it was told. */
+} jd_peer_state_t;
+
+typedef struct jd_peer
+{
+  jd_peer_state_t state;
+  int64_t heard_us; /* 0 while it is known by address only. */
+  int64_t tried_us;
+} jd_peer_t;
+
+/* The other hosts, as heard from them. */
+typedef struct jd_peer_table jd_peer_table_t;
+
+jd_peer_table_t *jd_peer_table_new (uint32_t own_ip, const char *own_zone);
+void jd_peer_table_free (jd_peer_table_t *table);
+bool jd_peer_table_learn (jd_peer_table_t *table, uint32_t ip);
+bool jd_peer_table_hear (jd_peer_table_t *table, const jd_peer_state_t *state,
+                         int64_t now_us);
+void jd_peer_table_expire (jd_peer_table_t *table, int64_t now_us);
+uint32_t jd_peer_table_hosts (const jd_peer_table_t *table, int64_t now_us);
+uint32_t jd_peer_table_rank (const jd_peer_table_t *table, int64_t now_us);
+uint32_t jd_peer_table_live (const jd_peer_table_t *table, uint32_t *ips, uint32_t max,
+                             int64_t now_us);
+uint32_t jd_peer_table_due (jd_peer_table_t *table, uint32_t *ips, uint32_t max,
+                            int64_t now_us);
+bool jd_peer_table_should_read (const jd_peer_table_t *table, bool store_works,
+                                int64_t now_us);
+const jd_peer_t *jd_peer_table_best_source (const jd_peer_table_t *table,
+                                            int64_t own_age_us, int64_t now_us);
--- /dev/null
+++ b/src/routing/fanout.c
@@ -0,0 +1,291 @@
+#include "routing/fanout.h"
+
+#include <math.h>
+
+#include "base/clock.h"
+#include "base/invariant.h"
+
+/* Share of extra attempts to first ones. The platform allows 0.2, measured over all
+ * hosts in a window; the rest is for the difference between the two counts. */
+#define EXTRA_SHARE 0.17
+/* A second replica is asked when an attempt takes this many times the median. With the
+ * spread of work on these sites, about 1 in 50 healthy attempts does. */
+#define HEDGE_FACTOR 2.2
+#define HEDGE_MIN_US (6 * JD_US_PER_MS)
+/* Latest time for a second attempt, as a share of the objective, so that it can still
+ * be answered within the objective. */
+#define HEDGE_LATEST_SHARE 0.45
+/* Assumed latency of an attempt as a share of the objective while nothing is known. */
+#define UNKNOWN_LATENCY_SHARE 0.2
+/* What an answer needs to reach its caller: two times up to 3 ms on the way, and the
+ * queue of a busy host. */
+#define ANSWER_MARGIN_US (10 * JD_US_PER_MS)
+/* An answer is sent early at this share of the objective at the soonest. */
+#define EARLY_SHARE_MIN 0.5
+/* A further attempt with less time than this is not made. */
+#define ATTEMPT_MIN_US (3 * JD_US_PER_MS)
+#define NEVER_US INT64_MAX
+
+/* Returns the usual latency of the route's attempts, or an assumption. */
+static int64_t
+usual_us (const jd_fanout_t *fanout)
+{
+  const jd_route_t *route = fanout->route;
+  if (route->latency && route->latency->median_us > 0.0)
+    return (int64_t)route->latency->median_us;
+  return (int64_t)((double)route->objective_us * UNKNOWN_LATENCY_SHARE);
+}
+
+/* Returns how long an attempt runs before a second replica is asked. */
+static int64_t
+hedge_after_us (const jd_fanout_t *fanout)
+{
+  double after_us = (double)usual_us (fanout) * HEDGE_FACTOR;
+  after_us = MIN (after_us, (double)fanout->route->objective_us * HEDGE_LATEST_SHARE);
+  return (int64_t)MAX (after_us, (double)HEDGE_MIN_US);
+}
+
+/* Creates the state of a request. */
+jd_fanout_t *
+jd_fanout_new (const jd_fanout_request_t *request, const jd_fanout_actions_t *actions,
+               int64_t now_us)
+{
+  uint32_t count = request->part_count;
+  jd_fanout_t *fanout
+      = g_malloc0 (sizeof (jd_fanout_t) + count * sizeof (jd_fanout_part_t));
+  fanout->actions = *actions;
+  fanout->route = request->route;
+  fanout->start_us = now_us;
+  fanout->deadline_us = request->deadline_us;
+  fanout->part_count = count;
+  fanout->salt = request->salt;
+  fanout->needed = count;
+  if (request->route->kind == JD_ROUTE_SCATTER)
+    {
+      /* The small term keeps 0.9 x 10 from rounding up to 10. */
+      double needed = ceil (request->route->min_coverage * count - 1e-9);
+      fanout->needed = (uint32_t)CLAMP (needed, 1.0, (double)count);
+    }
+  int64_t objective_us = request->route->objective_us;
+  int64_t early_us = MAX (objective_us - ANSWER_MARGIN_US,
+                          (int64_t)((double)objective_us * EARLY_SHARE_MIN));
+  fanout->early_us = now_us + early_us;
+  for (uint32_t i = 0; i < count; i++)
+    fanout->parts[i].pool = request->parts[i].pool;
+  return fanout;
+}
+
+/* Frees the state; running attempts are the caller's to withdraw. */
+void
+jd_fanout_free (jd_fanout_t *fanout)
+{
+  for (uint32_t i = 0; i < fanout->part_count; i++)
+    {
+      for (uint32_t k = 0; k < fanout->parts[i].attempt_count; k++)
+        jd_replica_unref (fanout->parts[i].attempts[k].replica);
+    }
+  g_free (fanout);
+}
+
+/* Returns the best replica that the part has not tried, or NULL. */
+static jd_replica_t *
+choose (const jd_fanout_t *fanout, const jd_fanout_part_t *part, int64_t now_us)
+{
+  const jd_replica_t *tried[JD_FANOUT_TRIES_MAX];
+  for (uint32_t i = 0; i < part->attempt_count; i++)
+    tried[i] = part->attempts[i].replica;
+  jd_replica_need_t need = {
+    .usual_us = usual_us (fanout),
+    .fallback_us = usual_us (fanout),
+    .tried = tried,
+    .tried_count = part->attempt_count,
+    .salt = fanout->salt,
+  };
+  return jd_replica_choose (part->pool, &need, now_us);
+}
+
+/* TRUE when enough parts have a replica that may get the request now. */
+bool
+jd_fanout_can_succeed (const jd_fanout_t *fanout, int64_t now_us)
+{
+  uint32_t servable = 0;
+  for (uint32_t i = 0; i < fanout->part_count; i++)
+    servable += choose (fanout, &fanout->parts[i], now_us) != NULL;
+  return servable >= fanout->needed;
+}
+
+/* Ends the request. */
+static void
+finish (jd_fanout_t *fanout, jd_fanout_verdict_t verdict)
+{
+  JD_INVARIANT (one_answer, !fanout->finished);
+  fanout->finished = true;
+  fanout->actions.finish (fanout->actions.context, verdict);
+}
+
+/* Ends the request if its parts decide it. Returns TRUE once it has ended. */
+static bool
+check_finished (jd_fanout_t *fanout, int64_t now_us)
+{
+  if (fanout->finished)
+    return true;
+  uint32_t settled = fanout->done_count + fanout->lost_count;
+  if (fanout->done_count == fanout->part_count)
+    finish (fanout, JD_FANOUT_COMPLETE);
+  else if (fanout->part_count - fanout->lost_count < fanout->needed)
+    finish (fanout, fanout->any_may_have_run ? JD_FANOUT_FAILED : JD_FANOUT_NOT_RUN);
+  else if (fanout->done_count >= fanout->needed
+           && (settled == fanout->part_count || now_us >= fanout->early_us))
+    finish (fanout, JD_FANOUT_PARTIAL);
+  else if (now_us >= fanout->deadline_us)
+    finish (fanout, JD_FANOUT_TIMED_OUT);
+  return fanout->finished;
+}
+
+/* Makes an attempt at a part. */
+static bool
+attempt (jd_fanout_t *fanout, uint32_t index, jd_replica_t *replica, int64_t now_us)
+{
+  jd_fanout_part_t *part = &fanout->parts[index];
+  uint32_t number = part->attempt_count;
+  part->attempts[number] = (jd_fanout_attempt_t){
+    .replica = jd_replica_ref (replica),
+    .started_us = now_us,
+    .running = true,
+  };
+  part->attempt_count++;
+  part->running++;
+  if (fanout->actions.send (fanout->actions.context, index, number, replica))
+    return true;
+  part->running--;
+  part->attempts[number].running = false;
+  return false;
+}
+
+/* TRUE when one more replica may get the part: neither the route's limit of replicas
+ * that run it nor the time is used up. */
+static bool
+may_try (const jd_fanout_t *fanout, const jd_fanout_part_t *part, int64_t now_us)
+{
+  uint32_t runs = part->may_have_run + part->running;
+  if (part->attempt_count >= JD_FANOUT_TRIES_MAX || runs >= fanout->route->max_attempts)
+    return false;
+  if (!fanout->route->idempotent && runs > 0)
+    return false;
+  return fanout->deadline_us - now_us >= ATTEMPT_MIN_US;
+}
+
+/* Asks another replica, if one may and the budget allows it. An attempt after ones that
+ * never arrived anywhere is no extra one. */
+static bool
+try_another (jd_fanout_t *fanout, uint32_t index, bool is_extra, int64_t now_us)
+{
+  jd_fanout_part_t *part = &fanout->parts[index];
+  if (!may_try (fanout, part, now_us))
+    return false;
+  jd_replica_t *replica = choose (fanout, part, now_us);
+  if (!replica)
+    return false;
+  if (is_extra && !jd_hedge_budget_take (&part->pool->extra))
+    return false;
+  return attempt (fanout, index, replica, now_us);
+}
+
+/* Marks a part for which nothing more can be done. */
+static void
+lose (jd_fanout_t *fanout, jd_fanout_part_t *part)
+{
+  if (part->done || part->lost || part->running > 0)
+    return;
+  part->lost = true;
+  fanout->lost_count++;
+}
+
+/* Sends the first attempt of each part. */
+void
+jd_fanout_start (jd_fanout_t *fanout, int64_t now_us)
+{
+  for (uint32_t i = 0; i < fanout->part_count && !fanout->finished; i++)
+    {
+      jd_fanout_part_t *part = &fanout->parts[i];
+      jd_hedge_budget_add (&part->pool->extra, 1, EXTRA_SHARE);
+      jd_replica_t *replica = choose (fanout, part, now_us);
+      if (!replica || !attempt (fanout, i, replica, now_us))
+        lose (fanout, part);
+    }
+  check_finished (fanout, now_us);
+}
+
+/* TRUE while an answer to the part is still of use. */
+bool
+jd_fanout_wants (const jd_fanout_t *fanout, uint32_t part)
+{
+  return !fanout->finished && !fanout->parts[part].done;
+}
+
+/* Takes the outcome of an attempt. JD_REPLICA_OK ends the part; after anything else
+ * another replica is asked, if the request may be sent again. */
+void
+jd_fanout_settle (jd_fanout_t *fanout, uint32_t index, uint32_t number,
+                  jd_replica_outcome_t outcome, bool may_have_run, int64_t now_us)
+{
+  jd_fanout_part_t *part = &fanout->parts[index];
+  JD_INVARIANT (attempt_settled_once, part->attempts[number].running);
+  part->attempts[number].running = false;
+  part->running--;
+  if (may_have_run)
+    {
+      part->may_have_run++;
+      fanout->any_may_have_run = true;
+    }
+  if (fanout->finished || part->done)
+    return;
+  if (outcome == JD_REPLICA_OK)
+    {
+      part->done = true;
+      fanout->done_count++;
+      check_finished (fanout, now_us);
+      return;
+    }
+  bool arrived = may_have_run || outcome == JD_REPLICA_SHED;
+  if (part->running == 0 && try_another (fanout, index, arrived, now_us))
+    fanout->retries++;
+  lose (fanout, part);
+  check_finished (fanout, now_us);
+}
+
+/* Asks second replicas where the first takes long, and ends the request when its time
+ * is over. Returns when to call again, INT64_MAX once the request has ended. */
+int64_t
+jd_fanout_tick (jd_fanout_t *fanout, int64_t now_us)
+{
+  if (check_finished (fanout, now_us))
+    return NEVER_US;
+  int64_t wake_us = fanout->deadline_us;
+  if (fanout->early_us > now_us && fanout->done_count >= fanout->needed)
+    wake_us = MIN (wake_us, fanout->early_us);
+  else if (fanout->early_us > now_us && fanout->needed < fanout->part_count)
+    wake_us = MIN (wake_us, fanout->early_us);
+  if (!fanout->route->idempotent)
+    return wake_us;
+  int64_t after_us = hedge_after_us (fanout);
+  for (uint32_t i = 0; i < fanout->part_count; i++)
+    {
+      jd_fanout_part_t *part = &fanout->parts[i];
+      if (part->done || part->lost || part->running != 1)
+        continue;
+      int64_t due_us = part->attempts[part->attempt_count - 1].started_us + after_us;
+      if (due_us > now_us)
+        {
+          wake_us = MIN (wake_us, due_us);
+          continue;
+        }
+      if (!may_try (fanout, part, now_us))
+        continue;
+      if (try_another (fanout, i, true, now_us))
+        fanout->hedges++;
+      else
+        wake_us = MIN (wake_us, now_us + after_us);
+    }
+  return wake_us;
+}
--- a/src/routing/hedge_budget.c
+++ b/src/routing/hedge_budget.c
@@ -4,12 +4,19 @@
  * entries together could double the load of one shard for 0.3 s. */
 #define MAX_TOKENS 10.0
 
+/* Returns the bound on saved tokens. */
+static double
+max_tokens (const jd_hedge_budget_t *budget)
+{
+  return budget->max_tokens > 0.0 ? budget->max_tokens : MAX_TOKENS;
+}
+
 /* Fills the budget by a fraction of first requests that are being sent. */
 void
 jd_hedge_budget_add (jd_hedge_budget_t *budget, uint32_t requests, double fraction)
 {
   budget->first_requests += requests;
-  budget->tokens = MIN (MAX_TOKENS, budget->tokens + requests * fraction);
+  budget->tokens = MIN (max_tokens (budget), budget->tokens + requests * fraction);
 }
 
 /* Takes the token of one extra request; returns FALSE when there is none. */
@@ -30,6 +37,6 @@
 void
 jd_hedge_budget_return (jd_hedge_budget_t *budget)
 {
-  budget->tokens = MIN (MAX_TOKENS, budget->tokens + 1.0);
+  budget->tokens = MIN (max_tokens (budget), budget->tokens + 1.0);
   budget->extra_requests--;
 }
--- a/src/routing/hedge_budget.h
+++ b/src/routing/hedge_budget.h
@@ -11,6 +11,7 @@
   uint64_t first_requests;
   uint64_t extra_requests;
   uint64_t denied;
+  double max_tokens; /* Most saved tokens; 0 for the default. */
 } jd_hedge_budget_t;
 
 void jd_hedge_budget_add (jd_hedge_budget_t *budget, uint32_t requests, double fraction);
--- /dev/null
+++ b/src/routing/replica.c
@@ -0,0 +1,137 @@
+#include "routing/replica.h"
+
+#include <math.h>
+
+#include "base/clock.h"
+#include "base/log_event.h"
+
+/* Weight of a new observation; about the last five count. */
+#define SMOOTHING 0.25
+/* Half-life of what was learned, so that a replica that gets no requests is tried again. */
+#define MEMORY_HALF_LIFE_US (2 * JD_US_PER_S)
+#define SLOWNESS_MAX 20.0
+/* Failures in a row after which a replica is left out. */
+#define FAILURES_TO_EJECT 3
+#define EJECTION_FIRST_US (250 * JD_US_PER_MS)
+#define EJECTION_MAX_US (2 * JD_US_PER_S)
+/* A replica that answers this much later than usual when it is abandoned is stuck. */
+#define STUCK_FACTOR 6
+#define STUCK_MIN_US (200 * JD_US_PER_MS)
+
+/* Takes one more reference. */
+jd_replica_t *
+jd_replica_ref (jd_replica_t *replica)
+{
+  replica->references++;
+  return replica;
+}
+
+/* Gives a reference back; the last one frees the replica. */
+void
+jd_replica_unref (jd_replica_t *replica)
+{
+  if (!replica || --replica->references > 0)
+    return;
+  g_free (replica->id);
+  g_free (replica->zone);
+  g_free (replica);
+}
+
+/* TRUE when new requests may be sent to the replica. */
+bool
+jd_replica_is_usable (const jd_replica_t *replica, int64_t now_us)
+{
+  return !replica->removed && !replica->draining && !replica->evacuated
+         && replica->in_subset && replica->ejected_until_us <= now_us;
+}
+
+/* Lets old observations fade. */
+static void
+fade (jd_replica_t *replica, int64_t now_us)
+{
+  int64_t age_us = now_us - replica->updated_us;
+  replica->updated_us = now_us;
+  if (age_us <= 0)
+    return;
+  double keep = exp2 (-(double)age_us / (double)MEMORY_HALF_LIFE_US);
+  replica->slowness = 1.0 + (replica->slowness - 1.0) * keep;
+  replica->failure_share *= keep;
+}
+
+/* Leaves the replica out for a while, longer each time in a row. */
+static void
+eject (jd_replica_t *replica, const char *cause, int64_t now_us)
+{
+  int64_t length_us = EJECTION_FIRST_US << MIN (replica->ejections, 3);
+  length_us = MIN (length_us, EJECTION_MAX_US);
+  replica->ejections++;
+  replica->ejected_until_us = now_us + length_us;
+  jd_log_event (G_LOG_LEVEL_INFO, "target_ejected",
+                "target=%s service=%s cause=%s failures=%u for_ms=%" G_GINT64_FORMAT,
+                replica->id, replica->pool->service, cause,
+                replica->consecutive_failures, length_us / JD_US_PER_MS);
+}
+
+/* Learns from one finished attempt. usual_us is the usual latency of its kind of
+ * request over all replicas, 0 while it is not known. */
+void
+jd_replica_observe (jd_replica_t *replica, jd_replica_outcome_t outcome,
+                    int64_t elapsed_us, int64_t usual_us, int64_t now_us)
+{
+  fade (replica, now_us);
+  double failed = 0.0;
+  double relative
+      = usual_us > 0 ? MIN ((double)elapsed_us / (double)usual_us, SLOWNESS_MAX) : 1.0;
+  switch (outcome)
+    {
+    case JD_REPLICA_OK:
+      replica->unreachable = false;
+      replica->consecutive_failures = 0;
+      replica->ejections = 0;
+      replica->slowness += SMOOTHING * (relative - replica->slowness);
+      replica->latency_us += replica->latency_us > 0.0
+                                 ? SMOOTHING * ((double)elapsed_us - replica->latency_us)
+                                 : (double)elapsed_us;
+      break;
+    case JD_REPLICA_ABANDONED:
+      if (relative > replica->slowness)
+        replica->slowness += SMOOTHING * (relative - replica->slowness);
+      if (elapsed_us < STUCK_MIN_US || relative < STUCK_FACTOR)
+        return;
+      failed = 1.0;
+      replica->consecutive_failures++;
+      break;
+    case JD_REPLICA_SHED:
+      failed = 0.5; /* A full target is busy, not broken. */
+      break;
+    case JD_REPLICA_ERROR:
+    case JD_REPLICA_BROKEN:
+    case JD_REPLICA_TIMED_OUT:
+    case JD_REPLICA_REPLACED:
+    case JD_REPLICA_UNREACHABLE:
+      failed = 1.0;
+      replica->consecutive_failures++;
+      break;
+    }
+  replica->failure_share += SMOOTHING * (failed - replica->failure_share);
+  if (outcome == JD_REPLICA_UNREACHABLE || outcome == JD_REPLICA_REPLACED)
+    {
+      replica->unreachable = true;
+      eject (replica, outcome == JD_REPLICA_REPLACED ? "replaced" : "unreachable",
+             now_us);
+    }
+  else if (replica->consecutive_failures >= FAILURES_TO_EJECT)
+    eject (replica, "failures", now_us);
+}
+
+/* Takes the load that the replica reported with an answer. */
+void
+jd_replica_report (jd_replica_t *replica, uint32_t running, uint32_t waiting,
+                   uint32_t slots, int64_t now_us)
+{
+  replica->reported_busy = running + waiting;
+  replica->own_at_report = replica->in_flight;
+  replica->reported_at_us = now_us;
+  if (slots > 0)
+    replica->slots = slots;
+}
--- /dev/null
+++ b/src/routing/replica_registry.c
@@ -0,0 +1,271 @@
+#include "routing/replica_registry.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log_event.h"
+#include "routing/connection_share.h"
+
+struct jd_replica_registry
+{
+  char *local_zone;
+  jd_replica_events_t events;
+  GHashTable *by_id;      /* id -> jd_replica_t */
+  GHashTable *by_service; /* service -> jd_replica_pool_t */
+  GHashTable *evacuated;  /* set of zones */
+  uint32_t hosts;
+  uint32_t rank;
+};
+
+/* Gives a reference to a pool back; the last one frees it. */
+void
+jd_replica_pool_unref (jd_replica_pool_t *pool)
+{
+  if (--pool->references > 0)
+    return;
+  g_ptr_array_free (pool->replicas, TRUE);
+  g_free (pool->service);
+  g_free (pool);
+}
+
+/* Hash table callback for pools. */
+static void
+free_pool (gpointer data)
+{
+  jd_replica_pool_unref (data);
+}
+
+/* Hash table callback for replicas. */
+static void
+free_replica (gpointer data)
+{
+  jd_replica_unref (data);
+}
+
+/* Creates an empty registry of a host in a zone. */
+jd_replica_registry_t *
+jd_replica_registry_new (const char *local_zone, const jd_replica_events_t *events)
+{
+  jd_replica_registry_t *registry = g_new0 (jd_replica_registry_t, 1);
+  registry->local_zone = g_strdup (local_zone);
+  registry->events = *events;
+  registry->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_replica);
+  registry->by_service
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool);
+  registry->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  registry->hosts = 1;
+  return registry;
+}
+
+/* Frees a registry; replicas and pools that are still referenced live on. */
+void
+jd_replica_registry_free (jd_replica_registry_t *registry)
+{
+  g_hash_table_destroy (registry->by_id);
+  g_hash_table_destroy (registry->by_service);
+  g_hash_table_destroy (registry->evacuated);
+  g_free (registry->local_zone);
+  g_free (registry);
+}
+
+/* Returns a new reference to the pool of a service, which is created when needed. */
+jd_replica_pool_t *
+jd_replica_registry_pool (jd_replica_registry_t *registry, const char *service)
+{
+  jd_replica_pool_t *pool = g_hash_table_lookup (registry->by_service, service);
+  if (!pool)
+    {
+      pool = g_new0 (jd_replica_pool_t, 1);
+      pool->references = 1;
+      pool->service = g_strdup (service);
+      pool->replicas = g_ptr_array_new ();
+      g_hash_table_insert (registry->by_service, pool->service, pool);
+    }
+  pool->references++;
+  return pool;
+}
+
+/* Decides which replicas of a pool this host connects to. */
+static void
+assign_subset (jd_replica_registry_t *registry, jd_replica_pool_t *pool)
+{
+  uint32_t count = pool->replicas->len;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      jd_replica_t *replica = pool->replicas->pdata[i];
+      replica->in_subset = jd_connection_share_includes (
+          pool->max_connections, registry->hosts, count, registry->rank, i);
+    }
+}
+
+/* Orders replicas by id, so that all hosts number them alike. */
+static gint
+compare_replicas (gconstpointer a, gconstpointer b)
+{
+  const jd_replica_t *const *left = a;
+  const jd_replica_t *const *right = b;
+  return strcmp ((*left)->id, (*right)->id);
+}
+
+/* Drops a replica that is in the table of ids. */
+static void
+drop (jd_replica_registry_t *registry, jd_replica_t *replica)
+{
+  replica->removed = true;
+  jd_replica_pool_t *pool = replica->pool;
+  g_ptr_array_remove (pool->replicas, replica);
+  assign_subset (registry, pool);
+  registry->events.on_removed (registry->events.context, replica);
+  g_hash_table_remove (registry->by_id, replica->id);
+}
+
+/* TRUE when a published entry names another process than the known replica. */
+static bool
+is_other_process (const jd_replica_t *replica, const jd_replica_spec_t *spec)
+{
+  return replica->born_ms != spec->born_ms
+         || replica->address.sin_addr.s_addr != spec->address.sin_addr.s_addr
+         || replica->address.sin_port != spec->address.sin_port
+         || strcmp (replica->pool->service, spec->service) != 0;
+}
+
+/* Adds a replica that is not known yet. */
+static jd_replica_t *
+add (jd_replica_registry_t *registry, const jd_replica_spec_t *spec)
+{
+  jd_replica_t *replica = g_new0 (jd_replica_t, 1);
+  replica->references = 1;
+  replica->id = g_strdup (spec->id);
+  replica->zone = g_strdup (spec->zone);
+  replica->address = spec->address;
+  replica->born_ms = spec->born_ms;
+  replica->slowness = 1.0;
+  replica->local_zone = strcmp (spec->zone, registry->local_zone) == 0;
+  replica->evacuated = g_hash_table_contains (registry->evacuated, spec->zone);
+  jd_replica_pool_t *pool = jd_replica_registry_pool (registry, spec->service);
+  replica->pool = pool;
+  jd_replica_pool_unref (pool); /* The registry's own reference outlives replicas. */
+  g_ptr_array_add (pool->replicas, replica);
+  g_ptr_array_sort (pool->replicas, compare_replicas);
+  g_hash_table_insert (registry->by_id, replica->id, replica);
+  assign_subset (registry, pool);
+  return replica;
+}
+
+/* Adds or changes the replica that an entry names. An entry of another process under the
+ * same id replaces the replica, with all that was learned of it. */
+void
+jd_replica_registry_put (jd_replica_registry_t *registry, const jd_replica_spec_t *spec,
+                         int64_t now_us)
+{
+  jd_replica_t *replica = g_hash_table_lookup (registry->by_id, spec->id);
+  if (replica && is_other_process (replica, spec))
+    {
+      drop (registry, replica);
+      replica = NULL;
+    }
+  bool is_new = !replica;
+  if (is_new)
+    replica = add (registry, spec);
+  bool was_draining = replica->draining;
+  replica->draining = spec->draining;
+  replica->slots = spec->slots > 0 ? spec->slots : replica->slots;
+  bool was_cold = replica->cold_until_us > now_us;
+  if (spec->cold_left_us > 0)
+    replica->cold_until_us = now_us + spec->cold_left_us;
+  bool is_cold = replica->cold_until_us > now_us;
+  if (is_new || was_draining != spec->draining || was_cold != is_cold)
+    jd_log_event (G_LOG_LEVEL_INFO, "target_seen",
+                  "target=%s service=%s zone=%s draining=%d cold_ms=%" G_GINT64_FORMAT,
+                  replica->id, replica->pool->service, replica->zone, replica->draining,
+                  spec->cold_left_us / JD_US_PER_MS);
+  if (spec->draining && !was_draining && !is_new)
+    registry->events.on_removed (registry->events.context, replica);
+  else if (!spec->draining && (is_new || was_draining))
+    registry->events.on_added (registry->events.context, replica);
+}
+
+/* Removes a replica that is no longer published. */
+void
+jd_replica_registry_remove (jd_replica_registry_t *registry, const char *id)
+{
+  jd_replica_t *replica = g_hash_table_lookup (registry->by_id, id);
+  if (!replica)
+    return;
+  jd_log_event (G_LOG_LEVEL_INFO, "target_gone", "target=%s service=%s", replica->id,
+                replica->pool->service);
+  drop (registry, replica);
+}
+
+/* Removes all replicas whose ids are not in the set. */
+void
+jd_replica_registry_retain (jd_replica_registry_t *registry, GHashTable *ids)
+{
+  GList *known = g_hash_table_get_keys (registry->by_id);
+  for (GList *item = known; item; item = item->next)
+    {
+      if (!g_hash_table_contains (ids, item->data))
+        jd_replica_registry_remove (registry, item->data);
+    }
+  g_list_free (known);
+}
+
+/* Stops or allows new requests to the targets of a zone. */
+void
+jd_replica_registry_evacuate (jd_replica_registry_t *registry, const char *zone,
+                              bool evacuated)
+{
+  if (evacuated == g_hash_table_contains (registry->evacuated, zone))
+    return;
+  jd_log_event (G_LOG_LEVEL_INFO, "zone_evacuated", "zone=%s evacuated=%d", zone,
+                evacuated);
+  if (evacuated)
+    g_hash_table_add (registry->evacuated, g_strdup (zone));
+  else
+    g_hash_table_remove (registry->evacuated, zone);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, registry->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      jd_replica_t *replica = value;
+      if (strcmp (replica->zone, zone) == 0)
+        replica->evacuated = evacuated;
+    }
+}
+
+/* Sets how many hosts share the connections of each target, and the place of this one
+ * among them. */
+void
+jd_replica_registry_set_subset (jd_replica_registry_t *registry, uint32_t hosts,
+                                uint32_t rank)
+{
+  registry->hosts = MAX (hosts, 1);
+  registry->rank = rank;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, registry->by_service);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    assign_subset (registry, value);
+}
+
+/* Calls visit for each replica. */
+void
+jd_replica_registry_each (jd_replica_registry_t *registry,
+                          void (*visit) (void *context, jd_replica_t *replica),
+                          void *context)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, registry->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    visit (context, value);
+}
+
+/* Returns the number of published targets. */
+uint32_t
+jd_replica_registry_count (const jd_replica_registry_t *registry)
+{
+  return g_hash_table_size (registry->by_id);
+}
--- /dev/null
+++ b/src/routing/replica_registry.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "routing/replica.h"
+
+/* All targets that are published, by id and by service. */
+typedef struct jd_replica_registry jd_replica_registry_t;
+
+typedef struct jd_replica_events
+{
+  /* A replica may get requests from now on. */
+  void (*on_added) (void *context, jd_replica_t *replica);
+  /* A replica gets nothing new from now on; running attempts go on. */
+  void (*on_removed) (void *context, jd_replica_t *replica);
+  void *context;
+} jd_replica_events_t;
+
+jd_replica_registry_t *jd_replica_registry_new (const char *local_zone,
+                                                const jd_replica_events_t *events);
+void jd_replica_registry_free (jd_replica_registry_t *registry);
+jd_replica_pool_t *jd_replica_registry_pool (jd_replica_registry_t *registry,
+                                             const char *service);
+void jd_replica_pool_unref (jd_replica_pool_t *pool);
+void jd_replica_registry_put (jd_replica_registry_t *registry,
+                              const jd_replica_spec_t *spec, int64_t now_us);
+void jd_replica_registry_remove (jd_replica_registry_t *registry, const char *id);
+void jd_replica_registry_retain (jd_replica_registry_t *registry, GHashTable *ids);
+void jd_replica_registry_evacuate (jd_replica_registry_t *registry, const char *zone,
+                                   bool evacuated);
+void jd_replica_registry_set_subset (jd_replica_registry_t *registry, uint32_t hosts,
+                                     uint32_t rank);
+void jd_replica_registry_each (jd_replica_registry_t *registry,
+                               void (*visit) (void *context, jd_replica_t *replica),
+                               void *context);
+uint32_t jd_replica_registry_count (const jd_replica_registry_t *registry);
--- /dev/null
+++ b/src/routing/route_table.c
@@ -0,0 +1,235 @@
+#include "routing/route_table.h"
+
+#include <string.h>
+
+/* Each observation moves the estimates by this part. The high estimate rises 19 times as
+ * far as it falls, which settles at the 95th percentile. */
+#define LATENCY_STEP 0.03
+#define HIGH_RISE 19.0
+
+/* Frees a route. */
+static void
+free_route (gpointer data)
+{
+  jd_route_t *route = data;
+  for (guint i = 0; i < route->parts->len; i++)
+    jd_replica_pool_unref (g_array_index (route->parts, jd_route_part_t, i).pool);
+  g_array_free (route->parts, TRUE);
+  if (route->latency && --route->latency->references == 0)
+    g_free (route->latency);
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->prefix);
+  g_free (route);
+}
+
+/* Frees a tenant. */
+static void
+free_tenant (gpointer data)
+{
+  jd_tenant_t *tenant = data;
+  g_ptr_array_free (tenant->keys, TRUE);
+  g_free (tenant->name);
+  g_free (tenant);
+}
+
+/* Frees the limits of a service. */
+static void
+free_service (gpointer data)
+{
+  jd_service_limits_t *service = data;
+  g_free (service->name);
+  g_free (service);
+}
+
+/* Frees the routes of one host name. */
+static void
+free_host_routes (gpointer data)
+{
+  g_ptr_array_free (data, TRUE);
+}
+
+/* Creates an empty table of a version. */
+jd_route_table_t *
+jd_route_table_new (int64_t version)
+{
+  jd_route_table_t *table = g_new0 (jd_route_table_t, 1);
+  table->references = 1;
+  table->version = version;
+  table->routes = g_ptr_array_new_with_free_func (free_route);
+  table->tenants = g_ptr_array_new_with_free_func (free_tenant);
+  table->services = g_ptr_array_new_with_free_func (free_service);
+  table->by_host
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_host_routes);
+  table->by_key = g_hash_table_new (g_str_hash, g_str_equal);
+  return table;
+}
+
+/* Takes one more reference. */
+jd_route_table_t *
+jd_route_table_ref (jd_route_table_t *table)
+{
+  table->references++;
+  return table;
+}
+
+/* Gives a reference back; the last one frees the table. */
+void
+jd_route_table_unref (jd_route_table_t *table)
+{
+  if (!table || --table->references > 0)
+    return;
+  g_hash_table_destroy (table->by_host);
+  g_hash_table_destroy (table->by_key);
+  g_ptr_array_free (table->routes, TRUE);
+  g_ptr_array_free (table->tenants, TRUE);
+  g_ptr_array_free (table->services, TRUE);
+  g_free (table);
+}
+
+/* Adds a route; the caller fills the rest. */
+jd_route_t *
+jd_route_table_add_route (jd_route_table_t *table, const char *name, const char *host,
+                          const char *prefix)
+{
+  jd_route_t *route = g_new0 (jd_route_t, 1);
+  route->name = g_strdup (name);
+  route->host = g_ascii_strdown (host, -1);
+  route->prefix = g_strdup (prefix);
+  route->parts = g_array_new (FALSE, FALSE, sizeof (jd_route_part_t));
+  g_ptr_array_add (table->routes, route);
+  return route;
+}
+
+/* Adds a service to a route; takes over the reference to the pool. */
+void
+jd_route_add_part (jd_route_t *route, jd_replica_pool_t *pool, double weight)
+{
+  jd_route_part_t part = { .pool = pool, .weight = weight };
+  g_array_append_val (route->parts, part);
+}
+
+/* Adds a tenant; the caller adds its keys, which the table's index takes at the end. */
+jd_tenant_t *
+jd_route_table_add_tenant (jd_route_table_t *table, const char *name)
+{
+  jd_tenant_t *tenant = g_new0 (jd_tenant_t, 1);
+  tenant->name = g_strdup (name);
+  tenant->keys = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (table->tenants, tenant);
+  return tenant;
+}
+
+/* Adds the limits of a service; the caller fills them. */
+jd_service_limits_t *
+jd_route_table_add_service (jd_route_table_t *table, const char *name)
+{
+  jd_service_limits_t *service = g_new0 (jd_service_limits_t, 1);
+  service->name = g_strdup (name);
+  g_ptr_array_add (table->services, service);
+  return service;
+}
+
+/* Orders routes so that the longest prefix comes first. */
+static gint
+compare_prefixes (gconstpointer a, gconstpointer b)
+{
+  const jd_route_t *const *left = a;
+  const jd_route_t *const *right = b;
+  size_t left_len = strlen ((*left)->prefix);
+  size_t right_len = strlen ((*right)->prefix);
+  return (left_len < right_len) - (left_len > right_len);
+}
+
+/* Takes over what was learned of a route of the same name. */
+static void
+inherit_latency (jd_route_t *route, const jd_route_table_t *previous)
+{
+  for (guint i = 0; previous && i < previous->routes->len; i++)
+    {
+      const jd_route_t *old = previous->routes->pdata[i];
+      if (strcmp (old->name, route->name) != 0 || !old->latency)
+        continue;
+      route->latency = old->latency;
+      route->latency->references++;
+      return;
+    }
+  route->latency = g_new0 (jd_route_latency_t, 1);
+  route->latency->references = 1;
+}
+
+/* Builds the indexes once all records are in. */
+void
+jd_route_table_finish (jd_route_table_t *table, const jd_route_table_t *previous)
+{
+  for (guint i = 0; i < table->routes->len; i++)
+    {
+      jd_route_t *route = table->routes->pdata[i];
+      inherit_latency (route, previous);
+      GPtrArray *routes = g_hash_table_lookup (table->by_host, route->host);
+      if (!routes)
+        {
+          routes = g_ptr_array_new ();
+          g_hash_table_insert (table->by_host, g_strdup (route->host), routes);
+        }
+      g_ptr_array_add (routes, route);
+    }
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, table->by_host);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_sort (value, compare_prefixes);
+  for (guint i = 0; i < table->tenants->len; i++)
+    {
+      jd_tenant_t *tenant = table->tenants->pdata[i];
+      for (guint k = 0; k < tenant->keys->len; k++)
+        g_hash_table_insert (table->by_key, tenant->keys->pdata[k], tenant);
+    }
+}
+
+/* Returns the route of a request target under a host name, or NULL. A port in the host
+ * name is ignored. */
+const jd_route_t *
+jd_route_table_match (const jd_route_table_t *table, const char *host, const char *target,
+                      size_t target_len)
+{
+  char name[256];
+  size_t length = strcspn (host, ":");
+  if (length >= sizeof (name))
+    return NULL;
+  for (size_t i = 0; i < length; i++)
+    name[i] = g_ascii_tolower (host[i]);
+  name[length] = '\0';
+  GPtrArray *routes = g_hash_table_lookup (table->by_host, name);
+  for (guint i = 0; routes && i < routes->len; i++)
+    {
+      const jd_route_t *route = routes->pdata[i];
+      size_t prefix_len = strlen (route->prefix);
+      if (prefix_len <= target_len && memcmp (route->prefix, target, prefix_len) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+/* Returns the tenant that holds a key, or NULL. */
+const jd_tenant_t *
+jd_route_table_tenant (const jd_route_table_t *table, const char *key)
+{
+  return g_hash_table_lookup (table->by_key, key);
+}
+
+/* Learns from the latency of one successful attempt. */
+void
+jd_route_latency_record (jd_route_latency_t *latency, int64_t elapsed_us)
+{
+  double value = (double)elapsed_us;
+  if (latency->median_us <= 0.0)
+    {
+      latency->median_us = value;
+      latency->high_us = value * 2.0;
+      return;
+    }
+  latency->median_us *= value > latency->median_us ? 1.0 + LATENCY_STEP : 1.0 - LATENCY_STEP;
+  latency->high_us *= value > latency->high_us ? 1.0 + LATENCY_STEP
+                                               : 1.0 - LATENCY_STEP / HIGH_RISE;
+}
--- /dev/null
+++ b/src/routing/route_table.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "routing/replica_registry.h"
+
+/* One service of a route. */
+typedef struct jd_route_part
+{
+  jd_replica_pool_t *pool;
+  double weight; /* Share of a weighted route. */
+  double credit; /* Requests owed to the part by its weight. */
+} jd_route_part_t;
+
+typedef enum jd_route_kind
+{
+  JD_ROUTE_ONE,      /* One service. */
+  JD_ROUTE_WEIGHTED, /* One of several services, by weight. */
+  JD_ROUTE_SCATTER,  /* One replica of each of several shards. */
+} jd_route_kind_t;
+
+/* Latency learned of a route's attempts; lives as long as any table names the route. */
+typedef struct jd_route_latency
+{
+  uint32_t references;
+  double median_us;
+  double high_us; /* About the 95th percentile. */
+} jd_route_latency_t;
+
+typedef struct jd_route
+{
+  char *name;
+  char *host;
+  char *prefix;
+  jd_route_kind_t kind;
+  bool idempotent;
+  bool open; /* Needs no key. */
+  int64_t timeout_us;   /* Longest time that a caller is kept waiting. */
+  int64_t objective_us; /* Latency within which an answer has its full value. */
+  uint32_t priority;    /* 0 is the most urgent. */
+  uint32_t max_attempts; /* Replicas on which one request may run. */
+  uint32_t top_k;
+  double min_coverage;
+  GArray *parts; /* jd_route_part_t */
+  jd_route_latency_t *latency;
+} jd_route_t;
+
+typedef struct jd_tenant
+{
+  char *name;
+  GPtrArray *keys;
+  uint32_t priority;
+  bool has_priority;
+  double rate_per_s; /* 0: no limit. */
+  double burst;
+} jd_tenant_t;
+
+typedef struct jd_service_limits
+{
+  char *name;
+  uint32_t max_connections;
+  double cold_per_s;
+  int64_t cold_start_us;
+} jd_service_limits_t;
+
+/* One version of the configuration. Requests hold the version that they started with. */
+typedef struct jd_route_table
+{
+  uint32_t references;
+  int64_t version;
+  GPtrArray *routes;   /* jd_route_t */
+  GPtrArray *tenants;  /* jd_tenant_t */
+  GPtrArray *services; /* jd_service_limits_t */
+  GHashTable *by_host; /* host -> GPtrArray of routes, longest prefix first */
+  GHashTable *by_key;  /* key -> jd_tenant_t */
+  bool has_tenants;
+  uint32_t head_bytes;
+  uint32_t body_bytes;
+  int64_t head_timeout_us;
+  int64_t idle_timeout_us;
+} jd_route_table_t;
+
+jd_route_table_t *jd_route_table_new (int64_t version);
+jd_route_table_t *jd_route_table_ref (jd_route_table_t *table);
+void jd_route_table_unref (jd_route_table_t *table);
+jd_route_t *jd_route_table_add_route (jd_route_table_t *table, const char *name,
+                                      const char *host, const char *prefix);
+void jd_route_add_part (jd_route_t *route, jd_replica_pool_t *pool, double weight);
+jd_tenant_t *jd_route_table_add_tenant (jd_route_table_t *table, const char *name);
+jd_service_limits_t *jd_route_table_add_service (jd_route_table_t *table,
+                                                 const char *name);
+void jd_route_table_finish (jd_route_table_t *table, const jd_route_table_t *previous);
+const jd_route_t *jd_route_table_match (const jd_route_table_t *table, const char *host,
+                                        const char *target, size_t target_len);
+const jd_tenant_t *jd_route_table_tenant (const jd_route_table_t *table, const char *key);
+void jd_route_latency_record (jd_route_latency_t *latency, int64_t elapsed_us);
--- /dev/null
+++ b/src/transport/caller_server.c
@@ -0,0 +1,473 @@
+#include "transport/caller_server.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log_event.h"
+#include "transport/socket_address.h"
+
+/* Bytes that a caller may send ahead of the answer to its request. */
+#define AHEAD_LIMIT_BYTES (64 * 1024)
+#define READ_BYTES (16 * 1024)
+#define LISTEN_BACKLOG 1024
+#define SWEEP_INTERVAL_S 0.5
+/* Connections taken from the listener per wake-up, so that running requests go on. */
+#define ACCEPTS_PER_WAKEUP 32
+/* How long a rejected caller may go on sending before its connection is cut; a close with
+ * unread bytes would reset the connection and lose the answer. */
+#define LINGER_US (2 * JD_US_PER_S)
+#define DEFAULT_HEAD_BYTES (64 * 1024)
+#define DEFAULT_BODY_BYTES (1024 * 1024)
+#define DEFAULT_HEAD_TIMEOUT_US (10 * JD_US_PER_S)
+#define DEFAULT_IDLE_TIMEOUT_US (60 * JD_US_PER_S)
+
+struct jd_caller
+{
+  jd_caller_server_t *server;
+  GList link; /* In server->callers. */
+  ev_io io;
+  int fd;
+  jd_http_reader_t reader;
+  GString *ahead; /* Bytes that arrived during a request. */
+  GString *output;
+  size_t output_sent;
+  int64_t since_us; /* Start of the message or of the idle time. */
+  void *data;
+  bool busy;    /* A request waits for its answer. */
+  bool closing; /* Close when the output is sent. */
+  bool write_closed;
+  bool continue_sent;
+  bool processing; /* Input is being taken; output is flushed afterwards. */
+};
+
+struct jd_caller_server
+{
+  struct ev_loop *loop;
+  jd_caller_handler_t handler;
+  jd_caller_limits_t limits;
+  ev_io listener;
+  ev_timer sweep;
+  int listen_fd;
+  GQueue callers;
+  bool draining;
+};
+
+/* Returns the standard reason phrase of a status. */
+const char *
+jd_http_reason (uint32_t status)
+{
+  switch (status)
+    {
+#define XX(number, name, text)                                                           \
+  case number:                                                                           \
+    return #text;
+      HTTP_STATUS_MAP (XX)
+#undef XX
+    default:
+      return "Status";
+    }
+}
+
+/* Closes a connection and frees it. */
+static void
+caller_close (jd_caller_t *caller)
+{
+  jd_caller_server_t *server = caller->server;
+  if (caller->busy)
+    {
+      caller->busy = false;
+      server->handler.on_gone (server->handler.context, caller);
+    }
+  ev_io_stop (server->loop, &caller->io);
+  close (caller->fd);
+  g_queue_unlink (&server->callers, &caller->link);
+  jd_http_reader_clear (&caller->reader);
+  g_string_free (caller->ahead, TRUE);
+  g_string_free (caller->output, TRUE);
+  g_free (caller);
+}
+
+/* Sets which socket events wake the connection. */
+static void
+watch_events (jd_caller_t *caller)
+{
+  int events = 0;
+  if (caller->ahead->len < AHEAD_LIMIT_BYTES)
+    events |= EV_READ;
+  if (caller->output->len > caller->output_sent)
+    events |= EV_WRITE;
+  if ((caller->io.events & (EV_READ | EV_WRITE)) == events && ev_is_active (&caller->io))
+    return;
+  ev_io_stop (caller->server->loop, &caller->io);
+  ev_io_set (&caller->io, caller->fd, events);
+  if (events)
+    ev_io_start (caller->server->loop, &caller->io);
+}
+
+/* Sends pending output. Returns FALSE when the connection was closed. */
+static bool
+flush_output (jd_caller_t *caller)
+{
+  while (caller->output_sent < caller->output->len)
+    {
+      ssize_t sent = send (caller->fd, caller->output->str + caller->output_sent,
+                           caller->output->len - caller->output_sent, MSG_NOSIGNAL);
+      if (sent < 0 && errno == EINTR)
+        continue;
+      if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        return true;
+      if (sent < 0)
+        {
+          jd_log_event (G_LOG_LEVEL_DEBUG, "caller_write_failed", "error=%s",
+                        g_strerror (errno));
+          caller_close (caller);
+          return false;
+        }
+      caller->output_sent += (size_t)sent;
+    }
+  g_string_truncate (caller->output, 0);
+  caller->output_sent = 0;
+  if (caller->closing && !caller->write_closed)
+    {
+      shutdown (caller->fd, SHUT_WR);
+      caller->write_closed = true;
+    }
+  return true;
+}
+
+/* Answers a request that cannot be read and closes the connection after it. */
+static void
+refuse (jd_caller_t *caller, uint32_t status, const char *reason)
+{
+  jd_log_event (G_LOG_LEVEL_INFO, "request_unreadable", "status=%u reason=%s", status,
+                reason);
+  caller->closing = true;
+  caller->busy = false;
+  caller->since_us = jd_monotonic_us ();
+  g_string_append_printf (caller->output,
+                          "HTTP/1.1 %u %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+                          status, jd_http_reason (status));
+}
+
+/* Sends 100 Continue once to a caller that waits for it before it sends its body. */
+static void
+send_continue (jd_caller_t *caller)
+{
+  const char *expect = jd_http_reader_value (&caller->reader, "Expect");
+  if (caller->continue_sent || !expect
+      || g_ascii_strcasecmp (expect, "100-continue") != 0)
+    return;
+  caller->continue_sent = true;
+  g_string_append (caller->output, "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+/* Feeds bytes to the reader and hands over a complete request. Bytes past it wait. */
+static void
+take_input (jd_caller_t *caller, const char *data, size_t size)
+{
+  if (caller->closing)
+    return;
+  if (caller->busy)
+    {
+      g_string_append_len (caller->ahead, data, (gssize)size);
+      return;
+    }
+  if (!caller->reader.started)
+    caller->since_us = jd_monotonic_us ();
+  size_t used = 0;
+  jd_http_progress_t progress
+      = jd_http_reader_feed (&caller->reader, data, size, &used);
+  switch (progress)
+    {
+    case JD_HTTP_MORE:
+      if (caller->reader.head_done)
+        send_continue (caller);
+      return;
+    case JD_HTTP_HEAD_TOO_LARGE:
+      refuse (caller, 431, "head_too_large");
+      return;
+    case JD_HTTP_BODY_TOO_LARGE:
+      refuse (caller, 413, "body_too_large");
+      return;
+    case JD_HTTP_MALFORMED:
+      refuse (caller, 400, http_errno_name (HTTP_PARSER_ERRNO (&caller->reader.parser)));
+      return;
+    case JD_HTTP_COMPLETE:
+      break;
+    }
+  if (used < size)
+    g_string_append_len (caller->ahead, data + used, (gssize)(size - used));
+  caller->busy = true;
+  caller->server->handler.on_request (caller->server->handler.context, caller,
+                                      &caller->reader);
+}
+
+/* Reads the requests that arrived before the answer to an earlier one was sent. */
+static void
+take_ahead (jd_caller_t *caller)
+{
+  while (!caller->busy && !caller->closing && caller->ahead->len > 0)
+    {
+      GString *waiting = caller->ahead;
+      caller->ahead = g_string_new (NULL);
+      take_input (caller, waiting->str, waiting->len);
+      g_string_free (waiting, TRUE);
+    }
+}
+
+/* Sends output, reads what arrived earlier and closes when nothing is left to do. */
+static void
+settle (jd_caller_t *caller)
+{
+  caller->processing = true;
+  take_ahead (caller);
+  caller->processing = false;
+  if (flush_output (caller))
+    watch_events (caller);
+}
+
+/* Event loop callback of a connection. */
+static void
+on_caller_io (struct ev_loop *loop, ev_io *io, int events)
+{
+  jd_caller_t *caller = io->data;
+  if (events & EV_READ)
+    {
+      char data[READ_BYTES];
+      ssize_t size = recv (caller->fd, data, sizeof (data), 0);
+      if (size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR))
+        {
+          caller_close (caller);
+          return;
+        }
+      if (size > 0)
+        {
+          caller->processing = true;
+          take_input (caller, data, (size_t)size);
+          caller->processing = false;
+        }
+    }
+  settle (caller);
+}
+
+/* Queues an answer with its fields ("Name: value\r\n" lines) and body. The request ends
+ * here; the connection stays open unless either side asked to close it. */
+void
+jd_caller_answer (jd_caller_t *caller, uint32_t status, const GString *fields,
+                  const char *body, size_t body_bytes)
+{
+  jd_caller_server_t *server = caller->server;
+  bool no_body = status == 204 || status == 304;
+  caller->busy = false;
+  caller->data = NULL;
+  if (!caller->reader.keep_alive || server->draining)
+    caller->closing = true;
+  g_string_append_printf (caller->output, "HTTP/1.1 %u %s\r\n", status,
+                          jd_http_reason (status));
+  g_string_append_len (caller->output, fields->str, (gssize)fields->len);
+  if (!no_body)
+    g_string_append_printf (caller->output, "Content-Length: %zu\r\n", body_bytes);
+  g_string_append (caller->output,
+                   caller->closing ? "Connection: close\r\n\r\n" : "\r\n");
+  if (!no_body && caller->reader.parser.method != HTTP_HEAD)
+    g_string_append_len (caller->output, body, (gssize)body_bytes);
+  jd_http_reader_restart (&caller->reader);
+  caller->continue_sent = false;
+  caller->since_us = jd_monotonic_us ();
+  if (!caller->processing)
+    settle (caller);
+}
+
+/* Stores a pointer of the request's owner. */
+void
+jd_caller_set_data (jd_caller_t *caller, void *data)
+{
+  caller->data = data;
+}
+
+/* Returns the pointer of the request's owner. */
+void *
+jd_caller_data (const jd_caller_t *caller)
+{
+  return caller->data;
+}
+
+/* Adds an accepted connection. */
+static void
+caller_new (jd_caller_server_t *server, int fd)
+{
+  int on = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof (on));
+  jd_caller_t *caller = g_new0 (jd_caller_t, 1);
+  caller->server = server;
+  caller->fd = fd;
+  caller->ahead = g_string_new (NULL);
+  caller->output = g_string_new (NULL);
+  caller->since_us = jd_monotonic_us ();
+  caller->link.data = caller;
+  jd_http_reader_init (&caller->reader, HTTP_REQUEST, server->limits.head_bytes,
+                       server->limits.body_bytes);
+  ev_io_init (&caller->io, on_caller_io, fd, EV_READ);
+  caller->io.data = caller;
+  ev_io_start (server->loop, &caller->io);
+  g_queue_push_tail_link (&server->callers, &caller->link);
+}
+
+/* Event loop callback of the listener. */
+static void
+on_accept (struct ev_loop *loop, ev_io *io, int events)
+{
+  jd_caller_server_t *server = io->data;
+  for (uint32_t i = 0; i < ACCEPTS_PER_WAKEUP; i++)
+    {
+      int fd = accept4 (server->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
+        {
+          if (errno != EAGAIN && errno != ECONNABORTED && errno != EINTR)
+            jd_log_event (G_LOG_LEVEL_WARNING, "accept_failed", "error=%s",
+                          g_strerror (errno));
+          return;
+        }
+      caller_new (server, fd);
+    }
+}
+
+/* Timer callback: closes connections that are idle, or whose request takes too long to
+ * arrive, and those that did not close after their last answer. */
+static void
+on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  jd_caller_server_t *server = timer->data;
+  int64_t now_us = jd_monotonic_us ();
+  GList *next = NULL;
+  for (GList *item = server->callers.head; item; item = next)
+    {
+      next = item->next;
+      jd_caller_t *caller = item->data;
+      int64_t age_us = now_us - caller->since_us;
+      if (caller->busy)
+        continue;
+      if (caller->closing)
+        {
+          if (age_us > LINGER_US)
+            caller_close (caller);
+          continue;
+        }
+      if (!caller->reader.started)
+        {
+          if (age_us > server->limits.idle_timeout_us)
+            caller_close (caller);
+          continue;
+        }
+      if (age_us > server->limits.head_timeout_us + (caller->reader.head_done
+                                                         ? server->limits.idle_timeout_us
+                                                         : 0))
+        {
+          refuse (caller, 408, "request_timeout");
+          caller->since_us = now_us;
+          settle (caller);
+        }
+    }
+}
+
+/* Creates a server without a listener. */
+jd_caller_server_t *
+jd_caller_server_new (struct ev_loop *loop, const jd_caller_handler_t *handler)
+{
+  jd_caller_server_t *server = g_new0 (jd_caller_server_t, 1);
+  server->loop = loop;
+  server->handler = *handler;
+  server->listen_fd = -1;
+  server->limits = (jd_caller_limits_t){
+    .head_bytes = DEFAULT_HEAD_BYTES,
+    .body_bytes = DEFAULT_BODY_BYTES,
+    .head_timeout_us = DEFAULT_HEAD_TIMEOUT_US,
+    .idle_timeout_us = DEFAULT_IDLE_TIMEOUT_US,
+  };
+  g_queue_init (&server->callers);
+  ev_timer_init (&server->sweep, on_sweep, SWEEP_INTERVAL_S, SWEEP_INTERVAL_S);
+  server->sweep.data = server;
+  ev_timer_start (loop, &server->sweep);
+  return server;
+}
+
+/* Closes all connections and frees the server. */
+void
+jd_caller_server_free (jd_caller_server_t *server)
+{
+  jd_caller_server_close_listener (server);
+  ev_timer_stop (server->loop, &server->sweep);
+  while (server->callers.head)
+    caller_close (server->callers.head->data);
+  g_free (server);
+}
+
+/* Listens on "IP:port". */
+bool
+jd_caller_server_listen (jd_caller_server_t *server, const char *address, GError **error)
+{
+  server->listen_fd = jd_socket_listen (address, SOCK_STREAM, LISTEN_BACKLOG, error);
+  if (server->listen_fd < 0)
+    return false;
+  ev_io_init (&server->listener, on_accept, server->listen_fd, EV_READ);
+  server->listener.data = server;
+  ev_io_start (server->loop, &server->listener);
+  return true;
+}
+
+/* Sets the limits of connections from now on, and of the next request of open ones. */
+void
+jd_caller_server_set_limits (jd_caller_server_t *server, const jd_caller_limits_t *limits)
+{
+  server->limits = *limits;
+  for (GList *item = server->callers.head; item; item = item->next)
+    {
+      jd_caller_t *caller = item->data;
+      caller->reader.head_limit_bytes = limits->head_bytes;
+      caller->reader.body_limit_bytes = limits->body_bytes;
+    }
+}
+
+/* From now on each answer closes its connection. */
+void
+jd_caller_server_drain (jd_caller_server_t *server)
+{
+  server->draining = true;
+}
+
+/* Stops taking new connections. */
+void
+jd_caller_server_close_listener (jd_caller_server_t *server)
+{
+  if (server->listen_fd < 0)
+    return;
+  ev_io_stop (server->loop, &server->listener);
+  close (server->listen_fd);
+  server->listen_fd = -1;
+}
+
+/* Closes the connections on which no request is under way. */
+void
+jd_caller_server_close_idle (jd_caller_server_t *server)
+{
+  GList *next = NULL;
+  for (GList *item = server->callers.head; item; item = next)
+    {
+      next = item->next;
+      jd_caller_t *caller = item->data;
+      if (!caller->busy && !caller->closing && !caller->reader.started)
+        caller_close (caller);
+    }
+}
+
+/* Returns the number of open connections. */
+uint32_t
+jd_caller_server_count (const jd_caller_server_t *server)
+{
+  return server->callers.length;
+}
--- /dev/null
+++ b/src/transport/caller_server.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <ev.h>
+
+#include "transport/http_reader.h"
+
+/* A connection of a caller. It carries one request at a time. */
+typedef struct jd_caller jd_caller_t;
+typedef struct jd_caller_server jd_caller_server_t;
+
+typedef struct jd_caller_handler
+{
+  /* A whole request was read; the reader holds it until the answer. */
+  void (*on_request) (void *context, jd_caller_t *caller, const jd_http_reader_t *reader);
+  /* The caller left before its answer; the caller may not be used any more. */
+  void (*on_gone) (void *context, jd_caller_t *caller);
+  void *context;
+} jd_caller_handler_t;
+
+/* Bounds on what a caller may send and for how long; sizes in bytes. */
+typedef struct jd_caller_limits
+{
+  uint32_t head_bytes;
+  uint32_t body_bytes;
+  int64_t head_timeout_us;
+  int64_t idle_timeout_us;
+} jd_caller_limits_t;
+
+jd_caller_server_t *jd_caller_server_new (struct ev_loop *loop,
+                                          const jd_caller_handler_t *handler);
+void jd_caller_server_free (jd_caller_server_t *server);
+bool jd_caller_server_listen (jd_caller_server_t *server, const char *address,
+                              GError **error);
+void jd_caller_server_set_limits (jd_caller_server_t *server,
+                                  const jd_caller_limits_t *limits);
+void jd_caller_server_drain (jd_caller_server_t *server);
+void jd_caller_server_close_listener (jd_caller_server_t *server);
+void jd_caller_server_close_idle (jd_caller_server_t *server);
+uint32_t jd_caller_server_count (const jd_caller_server_t *server);
+
+void jd_caller_set_data (jd_caller_t *caller, void *data);
+void *jd_caller_data (const jd_caller_t *caller);
+void jd_caller_answer (jd_caller_t *caller, uint32_t status, const GString *fields,
+                       const char *body, size_t body_bytes);
+const char *jd_http_reason (uint32_t status);
--- /dev/null
+++ b/src/transport/http_reader.c
@@ -0,0 +1,273 @@
+#include "transport/http_reader.h"
+
+#include <string.h>
+
+/* Responses without fields keep about this much text. */
+#define INITIAL_TEXT_BYTES 256
+
+/* Appends to the text and refuses a head beyond the limit. */
+static int
+append_text (jd_http_reader_t *reader, const char *data, size_t size)
+{
+  if (reader->text->len + size > reader->head_limit_bytes)
+    {
+      reader->error = JD_HTTP_HEAD_TOO_LARGE;
+      return 1;
+    }
+  g_string_append_len (reader->text, data, (gssize)size);
+  return 0;
+}
+
+/* Parser callback: a piece of the request target. */
+static int
+on_url (http_parser *parser, const char *data, size_t size)
+{
+  jd_http_reader_t *reader = parser->data;
+  if (append_text (reader, data, size) != 0)
+    return 1;
+  reader->target_len = (uint32_t)reader->text->len;
+  return 0;
+}
+
+/* Parser callback: a piece of a header name. */
+static int
+on_header_field (http_parser *parser, const char *data, size_t size)
+{
+  jd_http_reader_t *reader = parser->data;
+  if (reader->head_done) /* Trailer fields concern one connection only. */
+    return 0;
+  if (reader->in_value || reader->fields->len == 0)
+    {
+      g_string_append_c (reader->text, '\0');
+      jd_http_field_t field = { .name_at = (uint32_t)reader->text->len };
+      g_array_append_val (reader->fields, field);
+      reader->in_value = false;
+    }
+  g_array_index (reader->fields, jd_http_field_t, reader->fields->len - 1).name_len
+      += (uint32_t)size;
+  return append_text (reader, data, size);
+}
+
+/* Parser callback: a piece of a header value. */
+static int
+on_header_value (http_parser *parser, const char *data, size_t size)
+{
+  jd_http_reader_t *reader = parser->data;
+  if (reader->head_done)
+    return 0;
+  jd_http_field_t *field
+      = &g_array_index (reader->fields, jd_http_field_t, reader->fields->len - 1);
+  if (!reader->in_value)
+    {
+      g_string_append_c (reader->text, '\0');
+      field->value_at = (uint32_t)reader->text->len;
+      reader->in_value = true;
+    }
+  field->value_len += (uint32_t)size;
+  return append_text (reader, data, size);
+}
+
+/* Parser callback: the head is complete. */
+static int
+on_headers_complete (http_parser *parser)
+{
+  jd_http_reader_t *reader = parser->data;
+  reader->head_done = true;
+  if (parser->content_length != UINT64_MAX
+      && parser->content_length > reader->body_limit_bytes && !reader->head_response)
+    {
+      reader->error = JD_HTTP_BODY_TOO_LARGE;
+      return -1;
+    }
+  return reader->head_response ? 1 : 0;
+}
+
+/* Parser callback: a piece of the decoded body. */
+static int
+on_body (http_parser *parser, const char *data, size_t size)
+{
+  jd_http_reader_t *reader = parser->data;
+  if (reader->body->len + size > reader->body_limit_bytes)
+    {
+      reader->error = JD_HTTP_BODY_TOO_LARGE;
+      return 1;
+    }
+  g_string_append_len (reader->body, data, (gssize)size);
+  return 0;
+}
+
+/* Parser callback: the message is complete; later bytes belong to the next one. */
+static int
+on_message_complete (http_parser *parser)
+{
+  jd_http_reader_t *reader = parser->data;
+  reader->complete = true;
+  reader->keep_alive = http_should_keep_alive (parser) != 0;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_url = on_url,
+  .on_header_field = on_header_field,
+  .on_header_value = on_header_value,
+  .on_headers_complete = on_headers_complete,
+  .on_body = on_body,
+  .on_message_complete = on_message_complete,
+};
+
+/* Prepares a reader for messages of one type. Limits are in bytes. */
+void
+jd_http_reader_init (jd_http_reader_t *reader, enum http_parser_type type,
+                     uint32_t head_limit_bytes, uint32_t body_limit_bytes)
+{
+  *reader = (jd_http_reader_t){
+    .text = g_string_sized_new (INITIAL_TEXT_BYTES),
+    .body = g_string_new (NULL),
+    .fields = g_array_new (FALSE, FALSE, sizeof (jd_http_field_t)),
+    .head_limit_bytes = head_limit_bytes,
+    .body_limit_bytes = body_limit_bytes,
+  };
+  http_parser_init (&reader->parser, type);
+  reader->parser.data = reader;
+}
+
+/* Frees what the reader holds. */
+void
+jd_http_reader_clear (jd_http_reader_t *reader)
+{
+  if (!reader->text)
+    return;
+  g_string_free (reader->text, TRUE);
+  g_string_free (reader->body, TRUE);
+  g_array_free (reader->fields, TRUE);
+  reader->text = NULL;
+}
+
+/* Forgets the message and prepares for the next one of the same connection. */
+void
+jd_http_reader_restart (jd_http_reader_t *reader)
+{
+  http_parser_init (&reader->parser, reader->parser.type);
+  reader->parser.data = reader;
+  g_string_truncate (reader->text, 0);
+  g_string_truncate (reader->body, 0);
+  g_array_set_size (reader->fields, 0);
+  reader->target_len = 0;
+  reader->head_response = false;
+  reader->in_value = false;
+  reader->head_done = false;
+  reader->complete = false;
+  reader->keep_alive = false;
+  reader->started = false;
+  reader->error = JD_HTTP_MORE;
+}
+
+/* Reads from data up to the end of the message and reports how many bytes it used. */
+jd_http_progress_t
+jd_http_reader_feed (jd_http_reader_t *reader, const char *data, size_t size,
+                     size_t *used)
+{
+  *used = 0;
+  if (reader->complete)
+    return JD_HTTP_COMPLETE;
+  if (size == 0)
+    return JD_HTTP_MORE;
+  reader->started = true;
+  *used = http_parser_execute (&reader->parser, &parser_settings, data, size);
+  if (reader->complete)
+    return JD_HTTP_COMPLETE;
+  if (reader->error != JD_HTTP_MORE)
+    return reader->error;
+  enum http_errno code = HTTP_PARSER_ERRNO (&reader->parser);
+  if (code == HPE_HEADER_OVERFLOW)
+    return JD_HTTP_HEAD_TOO_LARGE;
+  return code == HPE_OK ? JD_HTTP_MORE : JD_HTTP_MALFORMED;
+}
+
+/* Tells the reader that the peer closed the connection in order; completes a response
+ * whose body ends with its connection. */
+jd_http_progress_t
+jd_http_reader_end (jd_http_reader_t *reader)
+{
+  if (!reader->complete)
+    http_parser_execute (&reader->parser, &parser_settings, NULL, 0);
+  return reader->complete ? JD_HTTP_COMPLETE : JD_HTTP_MALFORMED;
+}
+
+/* Returns the value of the first field of a name, or NULL. Names ignore case. */
+const char *
+jd_http_reader_value (const jd_http_reader_t *reader, const char *name)
+{
+  size_t length = strlen (name);
+  for (guint i = 0; i < reader->fields->len; i++)
+    {
+      const jd_http_field_t *field = &g_array_index (reader->fields, jd_http_field_t, i);
+      if (field->name_len == length
+          && g_ascii_strncasecmp (reader->text->str + field->name_at, name, length) == 0)
+        return field->value_at ? reader->text->str + field->value_at : "";
+    }
+  return NULL;
+}
+
+/* Returns how many fields of a name the message has. */
+uint32_t
+jd_http_reader_count (const jd_http_reader_t *reader, const char *name)
+{
+  uint32_t count = 0;
+  size_t length = strlen (name);
+  for (guint i = 0; i < reader->fields->len; i++)
+    {
+      const jd_http_field_t *field = &g_array_index (reader->fields, jd_http_field_t, i);
+      count += field->name_len == length
+               && g_ascii_strncasecmp (reader->text->str + field->name_at, name, length)
+                      == 0;
+    }
+  return count;
+}
+
+/* Reads a field that holds a whole number of 0 or more; FALSE if it is absent or holds
+ * anything else. */
+bool
+jd_http_reader_number (const jd_http_reader_t *reader, const char *name, int64_t *number)
+{
+  const char *value = jd_http_reader_value (reader, name);
+  guint64 parsed = 0;
+  if (!value || !g_ascii_string_to_unsigned (value, 10, 0, G_MAXINT64, &parsed, NULL))
+    return false;
+  *number = (int64_t)parsed;
+  return true;
+}
+
+/* TRUE for a field that concerns one connection only (RFC 9110, 7.6.1) or the framing,
+ * which each connection sets anew. */
+bool
+jd_http_is_hop_header (const char *name)
+{
+  static const char *const names[]
+      = { "connection", "content-length", "transfer-encoding", "keep-alive",
+          "te",         "trailer",        "upgrade",           "proxy-connection",
+          "expect",     "proxy-authenticate", "proxy-authorization" };
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      if (g_ascii_strcasecmp (name, names[i]) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* TRUE when a comma-separated list, such as the value of Connection, holds a name. */
+bool
+jd_http_list_names (const char *list, const char *name)
+{
+  size_t length = strlen (name);
+  for (const char *at = list; at && *at;)
+    {
+      at += strspn (at, ", \t");
+      size_t item = strcspn (at, ", \t");
+      if (item == length && g_ascii_strncasecmp (at, name, length) == 0)
+        return true;
+      at += item;
+    }
+  return false;
+}
--- /dev/null
+++ b/src/transport/http_reader.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <glib.h>
+#include <http_parser.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum jd_http_progress
+{
+  JD_HTTP_MORE,     /* The message is not complete yet. */
+  JD_HTTP_COMPLETE, /* One whole message was read. */
+  JD_HTTP_HEAD_TOO_LARGE,
+  JD_HTTP_BODY_TOO_LARGE,
+  JD_HTTP_MALFORMED,
+} jd_http_progress_t;
+
+/* One header field; positions in the text of the reader. Names and values end with a
+ * zero byte that their lengths do not count. */
+typedef struct jd_http_field
+{
+  uint32_t name_at;
+  uint32_t name_len;
+  uint32_t value_at;
+  uint32_t value_len;
+} jd_http_field_t;
+
+/* Reads one HTTP/1 message from the pieces in which it arrives. Used for requests of
+ * callers and for responses of targets and of the platform. Header bytes are kept as
+ * sent; a chunked body is decoded. */
+typedef struct jd_http_reader
+{
+  http_parser parser;
+  GString *text;  /* Request target, header names and values. */
+  GString *body;
+  GArray *fields; /* jd_http_field_t */
+  uint32_t target_len; /* Length of the request target, at the start of text. */
+  uint32_t head_limit_bytes;
+  uint32_t body_limit_bytes;
+  bool head_response; /* Response to a HEAD request, which has no body. */
+  bool in_value;      /* The last header callback delivered a value. */
+  bool head_done;
+  bool complete;
+  bool keep_alive;
+  bool started; /* Bytes of this message have arrived. */
+  jd_http_progress_t error;
+} jd_http_reader_t;
+
+void jd_http_reader_init (jd_http_reader_t *reader, enum http_parser_type type,
+                          uint32_t head_limit_bytes, uint32_t body_limit_bytes);
+void jd_http_reader_clear (jd_http_reader_t *reader);
+void jd_http_reader_restart (jd_http_reader_t *reader);
+jd_http_progress_t jd_http_reader_feed (jd_http_reader_t *reader, const char *data,
+                                        size_t size, size_t *used);
+jd_http_progress_t jd_http_reader_end (jd_http_reader_t *reader);
+const char *jd_http_reader_value (const jd_http_reader_t *reader, const char *name);
+bool jd_http_reader_number (const jd_http_reader_t *reader, const char *name,
+                            int64_t *number);
+uint32_t jd_http_reader_count (const jd_http_reader_t *reader, const char *name);
+bool jd_http_is_hop_header (const char *name);
+bool jd_http_list_names (const char *list, const char *name);
--- /dev/null
+++ b/src/transport/peer_gossip.c
@@ -0,0 +1,233 @@
+#include "transport/peer_gossip.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log_event.h"
+#include "transport/socket_address.h"
+#include "transport/wire_reader.h"
+
+/* One datagram stays under the usual packet size. */
+#define DATAGRAM_BYTES 1400
+#define FORMAT_VERSION 1
+#define HOSTS_MAX 1024
+/* Addresses of other hosts in one message; each message names another part of them. */
+#define KNOWN_MAX 24
+#define REPORTS_MAX 40
+#define DATAGRAMS_PER_WAKEUP 64
+/* A fleet this large gets messages at the configured interval. In a larger one the
+ * interval grows with it, so that a host receives no more than this many per interval. */
+#define FULL_RATE_HOSTS 16
+/* Messages that announce a stop are repeated, because datagrams get lost. */
+#define URGENT_COPIES 2
+
+struct jd_peer_gossip
+{
+  jd_peer_gossip_options_t options;
+  int fd;
+  ev_io io;
+  ev_timer timer;
+  uint64_t sequence;
+  uint32_t known_offset;
+};
+
+/* Packs the state of this host. */
+static void
+pack_state (msgpack_packer *packer, const jd_peer_state_t *state)
+{
+  msgpack_pack_uint32 (packer, state->ip);
+  msgpack_pack_uint64 (packer, state->incarnation);
+  msgpack_pack_uint64 (packer, state->sequence);
+  msgpack_pack_str_with_body (packer, state->name, strlen (state->name));
+  msgpack_pack_str_with_body (packer, state->zone, strlen (state->zone));
+  msgpack_pack_uint8 (packer, state->leaving);
+  msgpack_pack_uint8 (packer, state->reads_store);
+  msgpack_pack_int64 (packer, state->feed_revision);
+  msgpack_pack_int64 (packer, state->changed_revision);
+  msgpack_pack_int64 (packer, state->feed_age_us);
+}
+
+/* Packs some of the addresses that this host knows. */
+static void
+pack_known (jd_peer_gossip_t *gossip, msgpack_packer *packer, int64_t now_us)
+{
+  uint32_t ips[HOSTS_MAX];
+  uint32_t count = jd_peer_table_live (gossip->options.peers, ips, HOSTS_MAX, now_us);
+  uint32_t told = MIN (count, KNOWN_MAX);
+  msgpack_pack_array (packer, told);
+  for (uint32_t i = 0; i < told; i++)
+    msgpack_pack_uint32 (packer, ips[(gossip->known_offset + i) % count]);
+  gossip->known_offset += told;
+}
+
+/* Packs the use of tenants. */
+static void
+pack_reports (jd_peer_gossip_t *gossip, msgpack_packer *packer, int64_t now_us)
+{
+  jd_quota_report_t reports[REPORTS_MAX];
+  uint32_t count
+      = jd_fleet_quota_reports (gossip->options.quota, reports, REPORTS_MAX, now_us);
+  msgpack_pack_array (packer, count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      msgpack_pack_uint64 (packer, reports[i].tenant_hash);
+      msgpack_pack_uint64 (packer, reports[i].admitted);
+      msgpack_pack_uint32 (packer, (uint32_t)(reports[i].demand_per_s * 100.0));
+    }
+}
+
+/* Sends this host's message to all hosts that are due. */
+void
+jd_peer_gossip_send_now (jd_peer_gossip_t *gossip)
+{
+  int64_t now_us = jd_monotonic_us ();
+  jd_peer_state_t state = { 0 };
+  gossip->options.fill_state (gossip->options.context, &state);
+  state.sequence = ++gossip->sequence;
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_uint8 (&packer, FORMAT_VERSION);
+  pack_state (&packer, &state);
+  pack_known (gossip, &packer, now_us);
+  pack_reports (gossip, &packer, now_us);
+  uint32_t ips[HOSTS_MAX];
+  uint32_t count = jd_peer_table_due (gossip->options.peers, ips, HOSTS_MAX, now_us);
+  uint32_t copies = state.leaving ? URGENT_COPIES : 1;
+  for (uint32_t i = 0; i < count * copies; i++)
+    {
+      struct sockaddr_in to = {
+        .sin_family = AF_INET,
+        .sin_port = htons (gossip->options.port),
+        .sin_addr = { .s_addr = htonl (ips[i % count]) },
+      };
+      if (sendto (gossip->fd, buffer.data, buffer.size, 0, (struct sockaddr *)&to,
+                  sizeof (to))
+              < 0
+          && errno != EAGAIN)
+        jd_log_event (G_LOG_LEVEL_DEBUG, "gossip_send_failed", "error=%s",
+                      g_strerror (errno));
+    }
+  msgpack_sbuffer_destroy (&buffer);
+}
+
+/* Reads the state of another host. */
+static void
+read_state (jd_wire_reader_t *reader, jd_peer_state_t *state)
+{
+  state->ip = (uint32_t)jd_wire_read_unsigned (reader, UINT32_MAX);
+  state->incarnation = jd_wire_read_unsigned (reader, UINT64_MAX);
+  state->sequence = jd_wire_read_unsigned (reader, UINT64_MAX);
+  jd_wire_read_name (reader, state->name);
+  jd_wire_read_name (reader, state->zone);
+  state->leaving = jd_wire_read_unsigned (reader, 1) != 0;
+  state->reads_store = jd_wire_read_unsigned (reader, 1) != 0;
+  state->feed_revision = jd_wire_read_signed (reader);
+  state->changed_revision = jd_wire_read_signed (reader);
+  state->feed_age_us = jd_wire_read_signed (reader);
+}
+
+/* Takes one datagram; nothing of a damaged one is used. */
+static void
+take_datagram (jd_peer_gossip_t *gossip, const char *bytes, size_t size)
+{
+  jd_wire_reader_t reader;
+  jd_peer_state_t state = { 0 };
+  uint32_t known[KNOWN_MAX] = { 0 };
+  jd_quota_report_t reports[REPORTS_MAX] = { { 0 } };
+  jd_wire_reader_init (&reader, bytes, size);
+  if (jd_wire_read_unsigned (&reader, UINT8_MAX) != FORMAT_VERSION)
+    jd_wire_reader_fail (&reader, "other format version");
+  read_state (&reader, &state);
+  uint32_t known_count = jd_wire_read_array (&reader, KNOWN_MAX);
+  for (uint32_t i = 0; i < known_count; i++)
+    known[i] = (uint32_t)jd_wire_read_unsigned (&reader, UINT32_MAX);
+  uint32_t report_count = jd_wire_read_array (&reader, REPORTS_MAX);
+  for (uint32_t i = 0; i < report_count; i++)
+    {
+      reports[i].tenant_hash = jd_wire_read_unsigned (&reader, UINT64_MAX);
+      reports[i].admitted = jd_wire_read_unsigned (&reader, UINT64_MAX);
+      reports[i].demand_per_s
+          = (double)jd_wire_read_unsigned (&reader, UINT32_MAX) / 100.0;
+    }
+  const char *failure = reader.failure;
+  jd_wire_reader_clear (&reader);
+  if (failure)
+    {
+      jd_log_event (G_LOG_LEVEL_WARNING, "gossip_unreadable", "cause=\"%s\" bytes=%zu",
+                    failure, size);
+      return;
+    }
+  int64_t now_us = jd_monotonic_us ();
+  if (!jd_peer_table_hear (gossip->options.peers, &state, now_us))
+    return;
+  for (uint32_t i = 0; i < known_count; i++)
+    jd_peer_table_learn (gossip->options.peers, known[i]);
+  for (uint32_t i = 0; i < report_count; i++)
+    jd_fleet_quota_take_report (gossip->options.quota, state.ip, state.incarnation,
+                                &reports[i], now_us);
+  gossip->options.on_heard (gossip->options.context);
+}
+
+/* Event loop callback of the socket. */
+static void
+on_datagram (struct ev_loop *loop, ev_io *io, int events)
+{
+  jd_peer_gossip_t *gossip = io->data;
+  char bytes[2 * DATAGRAM_BYTES];
+  for (uint32_t i = 0; i < DATAGRAMS_PER_WAKEUP; i++)
+    {
+      ssize_t size = recv (gossip->fd, bytes, sizeof (bytes), 0);
+      if (size < 0)
+        return;
+      take_datagram (gossip, bytes, (size_t)size);
+    }
+}
+
+/* Timer callback: tells the others about this host. */
+static void
+on_interval (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  jd_peer_gossip_t *gossip = timer->data;
+  int64_t now_us = jd_monotonic_us ();
+  jd_peer_table_expire (gossip->options.peers, now_us);
+  jd_peer_gossip_send_now (gossip);
+  uint32_t hosts = jd_peer_table_hosts (gossip->options.peers, now_us);
+  double factor = MAX ((double)hosts / FULL_RATE_HOSTS, 1.0);
+  timer->repeat = gossip->options.interval_s * factor;
+  ev_timer_again (loop, timer);
+}
+
+/* Opens the socket and starts to send; NULL with an error. */
+jd_peer_gossip_t *
+jd_peer_gossip_new (const jd_peer_gossip_options_t *options, GError **error)
+{
+  int fd = jd_socket_listen (options->address, SOCK_DGRAM, 0, error);
+  if (fd < 0)
+    return NULL;
+  jd_peer_gossip_t *gossip = g_new0 (jd_peer_gossip_t, 1);
+  gossip->options = *options;
+  gossip->fd = fd;
+  ev_io_init (&gossip->io, on_datagram, fd, EV_READ);
+  gossip->io.data = gossip;
+  ev_io_start (options->loop, &gossip->io);
+  ev_timer_init (&gossip->timer, on_interval, 0.0, options->interval_s);
+  gossip->timer.data = gossip;
+  ev_timer_start (options->loop, &gossip->timer);
+  return gossip;
+}
+
+/* Closes the socket and frees the gossip. */
+void
+jd_peer_gossip_free (jd_peer_gossip_t *gossip)
+{
+  ev_io_stop (gossip->options.loop, &gossip->io);
+  ev_timer_stop (gossip->options.loop, &gossip->timer);
+  close (gossip->fd);
+  g_free (gossip);
+}
--- /dev/null
+++ b/src/transport/replica_links.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <ev.h>
+
+#include "routing/replica.h"
+#include "transport/http_reader.h"
+
+/* Connections from this host to all targets. A connection carries one request at a time;
+ * an exchange waits when all connections to its target are busy. */
+typedef struct jd_replica_links jd_replica_links_t;
+typedef struct jd_exchange jd_exchange_t;
+
+/* Names of the header fields that are exchanged with targets. */
+typedef struct jd_target_fields
+{
+  const char *request_id;
+  const char *deadline_ms;     /* Time left for the request, in milliseconds. */
+  const char *expected_target; /* Id of the target that may run the request. */
+  const char *signature;       /* Present in each answer of a target that ran it. */
+  const char *not_run;         /* Present when the target did not run the request. */
+  const char *load;            /* "running,waiting,slots" */
+  const char *cold_ms;         /* How much longer the target is cold. */
+} jd_target_fields_t;
+
+/* A request as it goes to targets; shared by the attempts of one caller request. */
+typedef struct jd_outgoing
+{
+  uint32_t references;
+  char *id;
+  GString *head; /* Request line and fields, each line with its end. */
+  GString *body;
+  bool is_head_method;
+  int64_t deadline_us; /* When the caller stops waiting. */
+} jd_outgoing_t;
+
+typedef struct jd_exchange_result
+{
+  jd_replica_outcome_t outcome;
+  bool may_have_run; /* FALSE only when the target cannot have run the request. */
+  bool arrived;      /* Bytes of the request were sent. */
+  const jd_http_reader_t *reply; /* NULL without a whole answer. */
+  int64_t elapsed_us;            /* Since it was sent. */
+} jd_exchange_result_t;
+
+typedef struct jd_exchange_owner
+{
+  void (*on_done) (void *context, uint32_t tag, jd_replica_t *replica,
+                   const jd_exchange_result_t *result);
+  void *context;
+  uint32_t tag;
+} jd_exchange_owner_t;
+
+typedef struct jd_replica_links_options
+{
+  struct ev_loop *loop;
+  jd_target_fields_t fields;
+  uint32_t reply_body_limit_bytes;
+} jd_replica_links_options_t;
+
+jd_outgoing_t *jd_outgoing_new (const char *id);
+void jd_outgoing_unref (jd_outgoing_t *outgoing);
+
+jd_replica_links_t *jd_replica_links_new (const jd_replica_links_options_t *options);
+void jd_replica_links_free (jd_replica_links_t *links);
+void jd_replica_links_set_hosts (jd_replica_links_t *links, uint32_t hosts);
+void jd_replica_links_add (jd_replica_links_t *links, jd_replica_t *replica);
+void jd_replica_links_retire (jd_replica_links_t *links, jd_replica_t *replica);
+jd_exchange_t *jd_replica_links_send (jd_replica_links_t *links, jd_replica_t *replica,
+                                      jd_outgoing_t *outgoing, int64_t usual_us,
+                                      const jd_exchange_owner_t *owner);
+void jd_exchange_cancel (jd_exchange_t *exchange, int64_t linger_us);
+uint32_t jd_replica_links_open_count (const jd_replica_links_t *links);
+uint64_t jd_replica_links_opened_total (const jd_replica_links_t *links);
