fix(membership): let hosts hear of records removed before a full read

A restarted host also took over reading, so its followers copied everything. Conclusion: a full read counts as a change; one host of a zone keeps reading until it stops.

--- a/src/config/host_settings.c
+++ b/src/config/host_settings.c
@@ -133,6 +133,11 @@
       = (uint32_t)read_number (reader, "limits", "memory-mb", 256.0, 32.0, 1e7);
   settings->max_descriptors
       = (uint32_t)read_number (reader, "limits", "max-descriptors", 1024.0, 64.0, 1e7);
+  char *first = read_optional (reader, "host", "first-start");
+  if (first && strcmp (first, "true") != 0 && strcmp (first, "false") != 0)
+    fail (reader, "host", "first-start", first, "true or false");
+  settings->first_start = first && strcmp (first, "true") == 0;
+  g_free (first);
   char *level = read_optional (reader, "log", "level");
   settings->log_level = G_LOG_LEVEL_INFO;
   if (level && !jd_log_parse_level (level, &settings->log_level))
--- a/src/config/host_settings.h
+++ b/src/config/host_settings.h
@@ -22,6 +22,7 @@
   uint32_t retry_slack;  /* Extra requests of all hosts that a service bears. */
   double cold_overage;   /* By how much a cold target's rate may be exceeded. */
   uint32_t cold_slack;
+  bool first_start; /* The whole system starts for the first time. */
   uint32_t memory_mb;
   uint32_t max_descriptors;
   GLogLevelFlags log_level;
--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -106,6 +106,7 @@
   state->reads_store = jd_record_source_reads_store (host->source, now_us);
   state->feed_revision = jd_record_feed_revision (host->feed);
   state->changed_revision = jd_record_feed_changed_revision (host->feed);
+  state->traces_since = jd_record_feed_traces_since (host->feed);
   state->feed_age_us = now_us - jd_record_feed_as_of_us (host->feed);
 }
 
@@ -443,7 +444,7 @@
   host->registry = jd_replica_registry_new (host->zone, &events);
   host->links = jd_replica_links_new (&links);
   host->feed = jd_record_feed_new (&host->platform.feed);
-  host->quota = jd_fleet_quota_new ();
+  host->quota = jd_fleet_quota_new (settings->first_start);
   host->peers = jd_peer_table_new (host->ip, host->zone);
   learn_seeds (host, settings->seeds);
   int64_t bound_us = MIN (settings->drain_us, settings->config_us);
--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -34,6 +34,7 @@
   int64_t last_success_us; /* Last good read of the store. */
   int64_t retry_us;        /* The store is not asked before this. */
   int64_t copy_asked_us;
+  jd_name_t copied_from;   /* Host of the running or last copy. */
   bool reading;
   bool store_failed;
   bool was_reader;
@@ -167,8 +168,16 @@
       return;
     }
   int64_t before = jd_record_feed_changed_revision (source->options.feed);
-  if (take_copy (source, reply->body))
-    tell_changes (source, before);
+  int64_t known = jd_record_feed_revision (source->options.feed);
+  if (!take_copy (source, reply->body))
+    return;
+  jd_log_event (G_LOG_LEVEL_INFO, "records_copied",
+                "from=%s after=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
+                " bytes=%zu ms=%" G_GINT64_FORMAT,
+                source->copied_from, known,
+                jd_record_feed_revision (source->options.feed), reply->body->len,
+                (jd_monotonic_us () - source->copy_asked_us) / JD_US_PER_MS);
+  tell_changes (source, before);
 }
 
 /* Copies from a host what it knows beyond this one, if it knows more. */
@@ -193,6 +202,7 @@
   char target[64];
   g_snprintf (target, sizeof (target), "/records?after=%" G_GINT64_FORMAT, revision);
   source->copy_asked_us = jd_monotonic_us ();
+  g_strlcpy (source->copied_from, peer->state.name, sizeof (source->copied_from));
   jd_http_caller_set_address (source->copier, &address);
   jd_http_caller_get (source->copier, target, COPY_TIMEOUT_US, on_copied, source);
 }
@@ -223,11 +233,11 @@
   int64_t before = jd_record_feed_changed_revision (source->options.feed);
   jd_record_feed_release_removals (source->options.feed, now_us);
   tell_changes (source, before);
-  int64_t own_age_us = now_us - jd_record_feed_as_of_us (source->options.feed);
-  const jd_peer_t *peer
-      = jd_peer_table_best_source (source->options.peers, own_age_us, now_us);
+  const jd_peer_t *peer = jd_peer_table_best_source (
+      source->options.peers, jd_record_feed_revision (source->options.feed), now_us);
+  bool reads_now = jd_record_source_reads_store (source, now_us);
   bool should_read
-      = !peer || jd_peer_table_should_read (source->options.peers, true, now_us);
+      = !peer || jd_peer_table_should_read (source->options.peers, reads_now, now_us);
   note_role (source, should_read);
   if (should_read)
     read_store (source, now_us);
@@ -242,9 +252,8 @@
   int64_t now_us = jd_monotonic_us ();
   if (jd_record_source_reads_store (source, now_us))
     return;
-  int64_t own_age_us = now_us - jd_record_feed_as_of_us (source->options.feed);
-  const jd_peer_t *peer
-      = jd_peer_table_best_source (source->options.peers, own_age_us, now_us);
+  const jd_peer_t *peer = jd_peer_table_best_source (
+      source->options.peers, jd_record_feed_revision (source->options.feed), now_us);
   if (peer)
     follow (source, peer);
 }
--- a/src/limits/fleet_quota.c
+++ b/src/limits/fleet_quota.c
@@ -16,6 +16,8 @@
 #define SILENCE_MAX_US (20 * JD_US_PER_S)
 /* Below this part of the rate, hosts need not divide it. */
 #define PRESSURE 0.8
+/* Part of a burst that a restarted host assumes to be left. */
+#define RESTART_BURST_SHARE 0.3
 #define HASH_SEED UINT64_C (0x71)
 
 typedef struct jd_quota_peer
@@ -39,6 +41,7 @@
   uint64_t admitted;
   uint64_t reported;  /* Value of admitted in the last report. */
   double demand_per_s;
+  double recent_per_s; /* Admitted by this host, smoothed as demand_per_s. */
   int64_t demand_us;
   GHashTable *peers;  /* host -> jd_quota_peer_t */
 } jd_quota_tenant_t;
@@ -46,6 +49,7 @@
 struct jd_fleet_quota
 {
   GHashTable *by_hash; /* tenant hash -> jd_quota_tenant_t */
+  bool first_start;
 };
 
 /* Frees a tenant's state. */
@@ -57,11 +61,13 @@
   g_free (tenant);
 }
 
-/* Creates a limiter without tenants. */
+/* Creates a limiter without tenants. first_start is FALSE when the system ran before, so
+ * that tenants may have used their bursts already. */
 jd_fleet_quota_t *
-jd_fleet_quota_new (void)
+jd_fleet_quota_new (bool first_start)
 {
   jd_fleet_quota_t *quota = g_new0 (jd_fleet_quota_t, 1);
+  quota->first_start = first_start;
   quota->by_hash
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_tenant);
   return quota;
@@ -102,7 +108,8 @@
   tenant->burst = MAX (burst, 1.0);
   if (is_first)
     {
-      tenant->level = tenant->burst;
+      tenant->level
+          = quota->first_start ? tenant->burst : tenant->burst * RESTART_BURST_SHARE;
       tenant->local_level = 1.0;
     }
   tenant->level = MIN (tenant->level, tenant->burst);
@@ -115,7 +122,9 @@
   int64_t age_us = now_us - tenant->demand_us;
   if (age_us <= 0)
     return;
-  tenant->demand_per_s *= exp (-(double)age_us / (double)DEMAND_WINDOW_US);
+  double keep = exp (-(double)age_us / (double)DEMAND_WINDOW_US);
+  tenant->demand_per_s *= keep;
+  tenant->recent_per_s *= keep;
   tenant->demand_us = now_us;
 }
 
@@ -161,6 +170,14 @@
                              MAX (tenant->burst * share, 1.0));
 }
 
+/* Counts an admitted request. */
+static void
+note_admitted (jd_quota_tenant_t *tenant)
+{
+  tenant->admitted++;
+  tenant->recent_per_s += (double)JD_US_PER_S / (double)DEMAND_WINDOW_US;
+}
+
 /* Decides about one request of a tenant now. hosts is the number of hosts that may
  * serve; when refused, retry_after_us says when a token is due. */
 bool
@@ -173,7 +190,7 @@
   *retry_after_us = 0;
   if (tenant->rate_per_s <= 0.0)
     {
-      tenant->admitted++;
+      note_admitted (tenant);
       return true;
     }
   double others_per_s = charge_peers (tenant, now_us);
@@ -189,7 +206,7 @@
     {
       tenant->level -= 1.0;
       tenant->local_level = MAX (tenant->local_level - 1.0, 0.0);
-      tenant->admitted++;
+      note_admitted (tenant);
       return true;
     }
   double missing = MAX (1.0 - tenant->level, 1.0 - tenant->local_level);
@@ -208,8 +225,11 @@
   if (!peer)
     {
       peer = g_new0 (jd_quota_peer_t, 1);
+      /* What a host admitted long ago no longer counts. */
+      uint64_t recent = (uint64_t)(report->admitted_per_s * (double)DEMAND_WINDOW_US
+                                   / (double)JD_US_PER_S);
       peer->incarnation = incarnation;
-      peer->admitted = report->admitted;
+      peer->admitted = report->admitted - MIN (recent, report->admitted);
       peer->heard_us = now_us;
       g_hash_table_insert (tenant->peers, g_memdup2 (&host, sizeof (host)), peer);
     }
@@ -253,6 +273,7 @@
         .tenant_hash = tenant->hash,
         .admitted = tenant->admitted,
         .demand_per_s = tenant->demand_per_s,
+        .admitted_per_s = tenant->recent_per_s,
       };
     }
   return count;
--- a/src/limits/fleet_quota.h
+++ b/src/limits/fleet_quota.h
@@ -14,9 +14,10 @@
   uint64_t tenant_hash;
   uint64_t admitted;     /* Since the start of the host's process. */
   double demand_per_s;   /* Requests that arrived, admitted or not. */
+  double admitted_per_s; /* Of the last second or so. */
 } jd_quota_report_t;
 
-jd_fleet_quota_t *jd_fleet_quota_new (void);
+jd_fleet_quota_t *jd_fleet_quota_new (bool first_start);
 void jd_fleet_quota_free (jd_fleet_quota_t *quota);
 void jd_fleet_quota_set (jd_fleet_quota_t *quota, const char *tenant, double rate_per_s,
                          double burst, int64_t now_us);
--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -183,13 +183,12 @@
   return count;
 }
 
-/* TRUE when this host reads the store itself: the store answers it, and no live host of
- * its zone with a lower address does so. */
+/* TRUE when this host should read the store itself: no other live host of its zone does,
+ * or both do and this one has the lower address. A host that returns does not take over
+ * from one that reads, because those that follow would have to copy everything. */
 bool
-jd_peer_table_should_read (const jd_peer_table_t *table, bool store_works, int64_t now_us)
+jd_peer_table_should_read (const jd_peer_table_t *table, bool reads_now, int64_t now_us)
 {
-  if (!store_works)
-    return false;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, table->by_ip);
@@ -197,21 +196,21 @@
     {
       const jd_peer_t *peer = value;
       if (is_live (peer, now_us) && peer->state.reads_store && !peer->state.leaving
-          && peer->state.ip < table->own_ip
-          && strcmp (peer->state.zone, table->own_zone) == 0)
+          && strcmp (peer->state.zone, table->own_zone) == 0
+          && (!reads_now || peer->state.ip < table->own_ip))
         return false;
     }
   return true;
 }
 
-/* Returns the host with the newest knowledge of records, those of this zone first; NULL
- * when none knows more than this host, whose knowledge is own_age_us old. */
+/* Returns the host to copy records from, or NULL: one that reads the store, of this zone
+ * if possible, and one that can tell single changes after own_revision if possible. */
 const jd_peer_t *
-jd_peer_table_best_source (const jd_peer_table_t *table, int64_t own_age_us,
+jd_peer_table_best_source (const jd_peer_table_t *table, int64_t own_revision,
                            int64_t now_us)
 {
   const jd_peer_t *best = NULL;
-  int64_t best_cost_us = own_age_us;
+  int64_t best_cost_us = INT64_MAX;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, table->by_ip);
@@ -223,10 +222,11 @@
       int64_t age_us = peer->state.feed_age_us + now_us - peer->heard_us;
       if (age_us > SOURCE_AGE_MAX_US)
         continue;
-      /* Any reader is current enough; a near one costs less. */
       bool is_near = strcmp (peer->state.zone, table->own_zone) == 0;
-      int64_t cost_us = age_us / 4 + (is_near ? 0 : SOURCE_AGE_MAX_US);
-      if (cost_us >= best_cost_us && best)
+      bool tells_changes = own_revision >= peer->state.traces_since;
+      int64_t cost_us = age_us / 4 + (is_near ? 0 : SOURCE_AGE_MAX_US)
+                        + (tells_changes ? 0 : 2 * SOURCE_AGE_MAX_US);
+      if (cost_us >= best_cost_us)
         continue;
       best = peer;
       best_cost_us = cost_us;
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -18,6 +18,7 @@
   bool reads_store;     /* It reads the platform's store itself, with success. */
   int64_t feed_revision; /* Revision up to which it knows the published records. */
   int64_t changed_revision; /* Of the last change of a record that matters. */
+  int64_t traces_since; /* Revision after which it can tell single changes. */
   int64_t feed_age_us;  /* How old that knowledge was when it was told. */
 } jd_peer_state_t;
 
@@ -43,7 +44,7 @@
                              int64_t now_us);
 uint32_t jd_peer_table_due (jd_peer_table_t *table, uint32_t *ips, uint32_t max,
                             int64_t now_us);
-bool jd_peer_table_should_read (const jd_peer_table_t *table, bool store_works,
+bool jd_peer_table_should_read (const jd_peer_table_t *table, bool reads_now,
                                 int64_t now_us);
 const jd_peer_t *jd_peer_table_best_source (const jd_peer_table_t *table,
-                                            int64_t own_age_us, int64_t now_us);
+                                            int64_t own_revision, int64_t now_us);
--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -159,7 +159,8 @@
 }
 
 /* Removes all records whose keys are not in the set, after a full read. Records that
- * changed after the revision of that read stay. */
+ * changed after the revision of that read stay. The full read itself counts as a change:
+ * records may have been removed that this host never knew. */
 void
 jd_record_feed_retain (jd_record_feed_t *feed, GHashTable *keys, int64_t revision)
 {
@@ -178,6 +179,7 @@
     jd_record_feed_remove (feed, missing->pdata[i], revision);
   g_ptr_array_free (missing, TRUE);
   feed->traces_since = MAX (feed->traces_since, revision);
+  feed->changed_revision = MAX (feed->changed_revision, revision);
 }
 
 /* Says that the records are complete up to a revision and were current at a time. */
@@ -209,6 +211,13 @@
   return feed->changed_revision;
 }
 
+/* Returns the revision after which all removals have traces. */
+int64_t
+jd_record_feed_traces_since (const jd_record_feed_t *feed)
+{
+  return feed->traces_since;
+}
+
 /* TRUE when a host that knows everything up to a revision may get just the changes. */
 bool
 jd_record_feed_has_changes_since (const jd_record_feed_t *feed, int64_t revision)
--- a/src/membership/record_feed.h
+++ b/src/membership/record_feed.h
@@ -37,6 +37,7 @@
 void jd_record_feed_advance (jd_record_feed_t *feed, int64_t revision, int64_t as_of_us);
 int64_t jd_record_feed_revision (const jd_record_feed_t *feed);
 int64_t jd_record_feed_changed_revision (const jd_record_feed_t *feed);
+int64_t jd_record_feed_traces_since (const jd_record_feed_t *feed);
 int64_t jd_record_feed_as_of_us (const jd_record_feed_t *feed);
 bool jd_record_feed_has_changes_since (const jd_record_feed_t *feed, int64_t revision);
 void jd_record_feed_each_after (const jd_record_feed_t *feed, int64_t revision,
--- a/src/transport/peer_gossip.c
+++ b/src/transport/peer_gossip.c
@@ -48,6 +48,7 @@
   msgpack_pack_uint8 (packer, state->reads_store);
   msgpack_pack_int64 (packer, state->feed_revision);
   msgpack_pack_int64 (packer, state->changed_revision);
+  msgpack_pack_int64 (packer, state->traces_since);
   msgpack_pack_int64 (packer, state->feed_age_us);
 }
 
@@ -77,6 +78,7 @@
       msgpack_pack_uint64 (packer, reports[i].tenant_hash);
       msgpack_pack_uint64 (packer, reports[i].admitted);
       msgpack_pack_uint32 (packer, (uint32_t)(reports[i].demand_per_s * 100.0));
+      msgpack_pack_uint32 (packer, (uint32_t)(reports[i].admitted_per_s * 100.0));
     }
 }
 
@@ -129,6 +131,7 @@
   state->reads_store = jd_wire_read_unsigned (reader, 1) != 0;
   state->feed_revision = jd_wire_read_signed (reader);
   state->changed_revision = jd_wire_read_signed (reader);
+  state->traces_since = jd_wire_read_signed (reader);
   state->feed_age_us = jd_wire_read_signed (reader);
 }
 
@@ -154,6 +157,8 @@
       reports[i].admitted = jd_wire_read_unsigned (&reader, UINT64_MAX);
       reports[i].demand_per_s
           = (double)jd_wire_read_unsigned (&reader, UINT32_MAX) / 100.0;
+      reports[i].admitted_per_s
+          = (double)jd_wire_read_unsigned (&reader, UINT32_MAX) / 100.0;
     }
   const char *failure = reader.failure;
   jd_wire_reader_clear (&reader);
