fix(limits): divide a tenant's rate while hosts have not heard of each other

Ruled out: lost reports (all hosts had heard of each other 0.8 s after the restart). Conclusion: restarted hosts start with a part of the burst, keep debt for the window, and let the part of requests pass that the rate allows. Gossip names known hosts in one of eight messages.

--- a/src/limits/fleet_quota.c
+++ b/src/limits/fleet_quota.c
@@ -4,10 +4,11 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "base/rng.h"
 
 /* The platform tolerates a quarter more than the rate over its window. Admitting a
  * little more than the rate keeps requests within it from being refused. */
-#define RATE_MARGIN 1.06
+#define RATE_MARGIN 1.02
 /* Demand is smoothed over about this time. */
 #define DEMAND_WINDOW_US (JD_US_PER_S)
 /* A host that is silent for longer than this is assumed to go on as it last told, because
@@ -16,8 +17,22 @@
 #define SILENCE_MAX_US (20 * JD_US_PER_S)
 /* Below this part of the rate, hosts need not divide it. */
 #define PRESSURE 0.8
+/* Reserve of one host's share while a tenant asks for less than its rate, so that a host
+ * that is seldom asked serves its first request. With greater demand the reserve is the
+ * part of requests that may pass, with RESERVE_MARGIN for uneven arrival. */
+#define LOCAL_RESERVE 1.0
+#define LOCAL_RESERVE_MIN 0.2
+#define RESERVE_MARGIN 1.3
+/* Above this part of its burst a tenant is not divided among hosts. */
+#define FULL_SHARE 0.5
 /* Part of a burst that a restarted host assumes to be left. */
 #define RESTART_BURST_SHARE 0.3
+/* A restarted host has heard of all others after about this time. */
+#define RESTART_US (2 * JD_US_PER_S)
+/* Hosts that have not heard of each other yet admit too much together. They make up for
+ * it within the window in which the platform counts, 5 s on these sites; older debt is
+ * forgiven. */
+#define DEBT_S 4.0
 #define HASH_SEED UINT64_C (0x71)
 
 typedef struct jd_quota_peer
@@ -48,8 +63,10 @@
 
 struct jd_fleet_quota
 {
+  jd_philox_t random;
   GHashTable *by_hash; /* tenant hash -> jd_quota_tenant_t */
   bool first_start;
+  int64_t started_us; /* Time of the first use; 0 before it. */
 };
 
 /* Frees a tenant's state. */
@@ -88,6 +105,8 @@
   jd_quota_tenant_t *tenant = g_hash_table_lookup (quota->by_hash, &hash);
   if (tenant)
     return tenant;
+  if (quota->started_us == 0)
+    quota->started_us = now_us;
   tenant = g_new0 (jd_quota_tenant_t, 1);
   tenant->hash = hash;
   tenant->refilled_us = now_us;
@@ -110,7 +129,8 @@
     {
       tenant->level
           = quota->first_start ? tenant->burst : tenant->burst * RESTART_BURST_SHARE;
-      tenant->local_level = 1.0;
+      tenant->local_level
+          = quota->first_start ? LOCAL_RESERVE : RESTART_BURST_SHARE;
     }
   tenant->level = MIN (tenant->level, tenant->burst);
 }
@@ -158,16 +178,17 @@
 
 /* Fills the buckets up to now. */
 static void
-refill (jd_quota_tenant_t *tenant, double share, int64_t now_us)
+refill (jd_quota_tenant_t *tenant, double share, double total_per_s, int64_t now_us)
 {
   double elapsed_s = (double)MAX (now_us - tenant->refilled_us, 0) / (double)JD_US_PER_S;
   double rate_per_s = tenant->rate_per_s * RATE_MARGIN;
+  double reserve = CLAMP (RESERVE_MARGIN * tenant->rate_per_s / total_per_s,
+                          LOCAL_RESERVE_MIN, LOCAL_RESERVE);
   tenant->refilled_us = now_us;
   tenant->level = MIN (tenant->level + rate_per_s * elapsed_s, tenant->burst);
-  /* Debt beyond one burst is the error of reports, not of admissions. */
-  tenant->level = MAX (tenant->level, -tenant->burst);
+  tenant->level = MAX (tenant->level, -(tenant->burst + tenant->rate_per_s * DEBT_S));
   tenant->local_level = MIN (tenant->local_level + rate_per_s * share * elapsed_s,
-                             MAX (tenant->burst * share, 1.0));
+                             MAX (tenant->burst * share, reserve));
 }
 
 /* Counts an admitted request. */
@@ -178,6 +199,32 @@
   tenant->recent_per_s += (double)JD_US_PER_S / (double)DEMAND_WINDOW_US;
 }
 
+/* TRUE when hosts have to divide the rate among them: the tenant asks for about all of
+ * it and has used a good part of its burst, or this host has just been restarted and may
+ * not have heard of what the others admit. */
+static bool
+needs_local_token (const jd_fleet_quota_t *quota, const jd_quota_tenant_t *tenant,
+                   double total_per_s, int64_t now_us)
+{
+  if (!quota->first_start && now_us - quota->started_us < RESTART_US)
+    return true;
+  bool pressed = total_per_s > tenant->rate_per_s * PRESSURE
+                 || g_hash_table_size (tenant->peers) == 0;
+  return pressed && tenant->level <= tenant->burst * FULL_SHARE;
+}
+
+/* Takes a token of this host's share. A part of a token gives a request the same part of
+ * a chance, because the share of one of many hosts may stay below one. */
+static bool
+take_local_token (jd_fleet_quota_t *quota, jd_quota_tenant_t *tenant)
+{
+  jd_rng_t rng = jd_philox_rng (&quota->random);
+  if (tenant->local_level < jd_rng_unit (&rng))
+    return false;
+  tenant->local_level -= 1.0;
+  return true;
+}
+
 /* Decides about one request of a tenant now. hosts is the number of hosts that may
  * serve; when refused, retry_after_us says when a token is due. */
 bool
@@ -198,14 +245,12 @@
   double share = MAX (tenant->demand_per_s / total_per_s, 0.25 / MAX (hosts, 1));
   if (g_hash_table_size (tenant->peers) == 0)
     share = 1.0 / MAX (hosts, 1);
-  refill (tenant, share, now_us);
-  bool pressed = total_per_s > tenant->rate_per_s * PRESSURE
-                 || g_hash_table_size (tenant->peers) == 0;
-  if (tenant->level >= 1.0 && (!pressed || tenant->local_level >= 1.0
-                               || tenant->level > tenant->burst * 0.5))
+  refill (tenant, share, total_per_s, now_us);
+  if (tenant->level >= 1.0
+      && (!needs_local_token (quota, tenant, total_per_s, now_us)
+          || take_local_token (quota, tenant)))
     {
       tenant->level -= 1.0;
-      tenant->local_level = MAX (tenant->local_level - 1.0, 0.0);
       note_admitted (tenant);
       return true;
     }
--- a/src/transport/peer_gossip.c
+++ b/src/transport/peer_gossip.c
@@ -15,13 +15,16 @@
 #define DATAGRAM_BYTES 1400
 #define FORMAT_VERSION 1
 #define HOSTS_MAX 1024
-/* Addresses of other hosts in one message; each message names another part of them. */
+/* Addresses of other hosts in one message; each such message names another part of them.
+ * A host names them while it is new, and in one of KNOWN_EVERY messages later, because
+ * traffic between zones has a price. */
 #define KNOWN_MAX 24
+#define KNOWN_EVERY 8
 #define REPORTS_MAX 40
 #define DATAGRAMS_PER_WAKEUP 64
 /* A fleet this large gets messages at the configured interval. In a larger one the
  * interval grows with it, so that a host receives no more than this many per interval. */
-#define FULL_RATE_HOSTS 16
+#define FULL_RATE_HOSTS 24
 /* A host that has just started tells and hears at the full rate, so that limits which
  * hosts share are soon right. */
 #define FULL_RATE_US (3 * JD_US_PER_S)
@@ -62,7 +65,9 @@
 {
   uint32_t ips[HOSTS_MAX];
   uint32_t count = jd_peer_table_live (gossip->options.peers, ips, HOSTS_MAX, now_us);
-  uint32_t told = MIN (count, KNOWN_MAX);
+  bool tells = now_us - gossip->started_us < FULL_RATE_US
+               || gossip->sequence % KNOWN_EVERY == 0;
+  uint32_t told = tells ? MIN (count, KNOWN_MAX) : 0;
   msgpack_pack_array (packer, told);
   for (uint32_t i = 0; i < told; i++)
     msgpack_pack_uint32 (packer, ips[(gossip->known_offset + i) % count]);
