feat(cli): tell a request's story from log lines; refuse zero bytes in paths

Cause: an id with an encoded zero byte named another entry (edit of a/b instead of a/b%00c); on-call engineers had no command that follows a request through the log. Conclusion: jackdawctl explain ID [LOG]; 400 for every encoded zero byte.

--- a/src/cli/cli_defs.h
+++ b/src/cli/cli_defs.h
@@ -19,6 +19,8 @@
   CLI_FLAG_SERVICE = 1 << 1,
   CLI_FLAG_QUERY = 1 << 2,
   CLI_FLAG_RECORD_SOURCE = 1 << 3, /* --from, --platform, --publish-to */
+  CLI_FLAG_NAMES_OPTIONAL =
+      1 << 4, /* Positional arguments may take the place of flags. */
 } cli_flag_t;
 
 /* The arguments of one call. Texts that were not given are NULL. */
--- a/src/cli/cli_options.c
+++ b/src/cli/cli_options.c
@@ -72,6 +72,7 @@
   static void *table[ARG_TOTAL];
   int count = 0;
   gboolean source = (command->flags & CLI_FLAG_RECORD_SOURCE) != 0;
+  gboolean names_optional = (command->flags & CLI_FLAG_NAMES_OPTIONAL) != 0;
   struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
   struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON lines");
   table[count++] = help;
@@ -81,7 +82,7 @@
                 "entry to ask; default " ENTRY_VARIABLE " or " DEFAULT_ENTRY, FALSE);
   struct arg_str *service =
       add_text (table, &count, (command->flags & CLI_FLAG_SERVICE) != 0, "service",
-                "<name>", "service of the search", TRUE);
+                "<name>", "service of the search", !names_optional);
   struct arg_str *query = add_text (table, &count, (command->flags & CLI_FLAG_QUERY) != 0,
                                     "query", "<text>", "query of the search", FALSE);
   struct arg_str *from = add_text (table, &count, source, "from", "<file>",
@@ -93,8 +94,8 @@
                 "service that accepts PUT /v1/records/NAME; also read from", FALSE);
   struct arg_str *names = NULL;
   if (command->names)
-    table[count++] = names =
-        arg_strn (NULL, NULL, command->names, 1, command->names_max, NULL);
+    table[count++] = names = arg_strn (NULL, NULL, command->names, names_optional ? 0 : 1,
+                                       command->names_max, NULL);
   struct arg_end *end = arg_end (MAX_ERRORS);
   table[count] = end;
   if (arg_nullcheck (table) != 0)
--- a/src/cli/command_entry.c
+++ b/src/cli/command_entry.c
@@ -6,6 +6,7 @@
 
 #include "cli/cli_http.h"
 #include "cli/cli_output.h"
+#include "cli/command_story.h"
 
 /* Reads a path of the entry; returns NULL after printing an error. */
 static char *
@@ -108,6 +109,14 @@
 cli_exit_t
 cli_command_explain (const cli_command_t *command, const cli_options_t *options)
 {
+  if (options->name_count > 0)
+    return cli_command_story (options->names[0],
+                              options->name_count > 1 ? options->names[1] : NULL);
+  if (!options->service)
+    {
+      cli_print_error ("explain needs a request id, or --service");
+      return CLI_EXIT_USAGE;
+    }
   char *service = g_uri_escape_string (options->service, NULL, FALSE);
   char *query = g_uri_escape_string (options->query ? options->query : "", NULL, FALSE);
   char *path = g_strdup_printf ("/explain?service=%s&q=%s", service, query);
--- a/src/daemons/entry_http.c
+++ b/src/daemons/entry_http.c
@@ -206,6 +206,8 @@
   jd_result_code_t code = classify (http_request, is_search, &request->kind);
   if (code == JD_OK && g_atomic_int_get (&http->refusing))
     code = JD_SHUTTING_DOWN;
+  if (code == JD_OK && strstr (http_request->http_url, "%00"))
+    code = JD_BAD_REQUEST; /* A decoded zero byte would end a name early. */
   if (code == JD_OK && is_too_large (http, http_request))
     code = JD_BODY_TOO_LARGE;
   if (code == JD_OK)
--- a/test/process/test_fleet.c
+++ b/test/process/test_fleet.c
@@ -117,6 +117,11 @@
   expect_refusal (entry, "POST", edit, JD_FLEET_KEY, "{\"text\":", 400, JD_BAD_JSON);
   expect_refusal (entry, "POST", edit, JD_FLEET_KEY, "[1]", 400, JD_BAD_JSON);
   expect_refusal (entry, "POST", edit, JD_FLEET_KEY, large, 413, JD_BODY_TOO_LARGE);
+  /* An id that ended at the zero byte would name another entry. */
+  expect_refusal (entry, "POST", "/v1/services/studio/entries/a%2Fb%00c", JD_FLEET_KEY,
+                  "{\"text\":\"x\"}", 400, JD_BAD_REQUEST);
+  expect_refusal (entry, "GET", "/v1/services/desk/search?q=a%00b", JD_FLEET_KEY, NULL,
+                  400, JD_BAD_REQUEST);
   expect_refusal (entry, "GET", "/nothing", JD_FLEET_KEY, NULL, 404, JD_UNKNOWN_ROUTE);
   g_free (large);
   jd_fleet_publish (&fleet, "service.desk",
--- a/test/process/test_jackdawctl.c
+++ b/test/process/test_jackdawctl.c
@@ -103,12 +103,45 @@
   g_free (url);
 }
 
+/* Guards against a request's story that misses its lines, what its host believed of the
+ * target, or the cause, and against a silent end for an unknown id. */
+static void
+explain_tells_the_story_of_a_request (void)
+{
+  static const char log[] =
+      "time=1.0 level=info host=h1 event=target_ejected target=t1 cause=failures\n"
+      "time=1.1 level=info host=h2 event=target_ejected target=t1 cause=other\n"
+      "time=2.0 level=info host=h1 event=attempt_failed id=r1 target=t1 outcome=shed\n"
+      "time=2.1 level=info host=h1 event=request_done id=r1 end=not_run status=503\n"
+      "time=2.1 level=info host=h1 event=request_done id=r10 end=served status=200\n";
+  char *folder = g_dir_make_tmp ("jackdawctl-XXXXXX", NULL);
+  char *path = g_build_filename (folder, "log", NULL);
+  CU_ASSERT_TRUE (g_file_set_contents (path, log, -1, NULL));
+  char *line = g_strdup_printf ("explain r1 %s", path);
+  char *output = NULL;
+  CU_ASSERT_EQUAL (run (line, &output), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (output, "cause=failures"));
+  CU_ASSERT_PTR_NULL (strstr (output, "cause=other"));
+  CU_ASSERT_PTR_NULL (strstr (output, "id=r10"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (output, "no target could take it"));
+  g_free (output);
+  g_free (line);
+  line = g_strdup_printf ("explain r2 %s", path);
+  CU_ASSERT_EQUAL (run (line, NULL), 1);
+  g_free (line);
+  g_remove (path);
+  g_rmdir (folder);
+  g_free (path);
+  g_free (folder);
+}
+
 int
 main (void)
 {
   const jd_test_case_t cases[] = {
     { "validate tells good from bad", validate_tells_good_from_bad },
     { "drain publishes the next version", drain_publishes_the_next_version },
+    { "explain tells the story of a request", explain_tells_the_story_of_a_request },
   };
   return JD_TEST_RUN ("jackdawctl", cases);
 }
--- a/test/support/relay.c
+++ b/test/support/relay.c
@@ -10,7 +10,7 @@
 
 #include "support/free_port.h"
 
-#define MAX_PAIRS 64
+#define MAX_PAIRS 512
 
 struct jd_relay
 {
@@ -19,7 +19,10 @@
   int listener;
   int ends[MAX_PAIRS][2]; /* Accepted and connected side; -1 when closed. */
   int pair_count;
-  _Atomic int silent_count; /* The first pairs are silent. */
+  _Atomic int silent_count;  /* The first pairs are silent. */
+  _Atomic int one_way_count; /* Nothing passes back to the caller on the first pairs. */
+  _Atomic int reset_wanted;
+  _Atomic int delay_ms; /* Of all bytes. */
   _Atomic int stopped;
   GThread *thread;
 };
@@ -40,8 +43,12 @@
       close (connected);
       return;
     }
-  relay->ends[relay->pair_count][0] = accepted;
-  relay->ends[relay->pair_count++][1] = connected;
+  int place = MAX (relay->silent_count, 0);
+  while (place < relay->pair_count && relay->ends[place][0] >= 0)
+    place++;
+  relay->ends[place][0] = accepted;
+  relay->ends[place][1] = connected;
+  relay->pair_count = MAX (relay->pair_count, place + 1);
 }
 
 /* Moves bytes of one side to the other; closes both at the end. */
@@ -57,6 +64,28 @@
   ends[0] = ends[1] = -1;
 }
 
+/* Resets all present connections on both sides. */
+static void
+reset_pairs (jd_relay_t *relay)
+{
+  struct linger at_once = { .l_onoff = 1 };
+  for (int i = 0; i < relay->pair_count; i++)
+    {
+      for (int side = 0; side < 2; side++)
+        {
+          if (relay->ends[i][side] < 0)
+            continue;
+          setsockopt (relay->ends[i][side], SOL_SOCKET, SO_LINGER, &at_once,
+                      sizeof (at_once));
+          close (relay->ends[i][side]);
+          relay->ends[i][side] = -1;
+        }
+    }
+  relay->silent_count = 0;
+  relay->one_way_count = 0;
+  relay->reset_wanted = 0;
+}
+
 /* Forwards until stopped. */
 static void *
 run (void *context)
@@ -70,11 +99,16 @@
       for (int i = first; i < count; i++)
         {
           fds[1 + 2 * i] = (struct pollfd){ relay->ends[i][0], POLLIN, 0 };
-          fds[2 + 2 * i] = (struct pollfd){ relay->ends[i][1], POLLIN, 0 };
+          int answering = i < relay->one_way_count ? -1 : relay->ends[i][1];
+          fds[2 + 2 * i] = (struct pollfd){ answering, POLLIN, 0 };
         }
       for (int i = 0; i < first; i++)
         fds[1 + 2 * i].fd = fds[2 + 2 * i].fd = -1;
       poll (fds, 1 + 2 * (nfds_t)count, 5);
+      if (relay->delay_ms > 0)
+        g_usleep ((gulong)relay->delay_ms * 1000);
+      if (relay->reset_wanted)
+        reset_pairs (relay);
       for (int i = first; i < count; i++)
         for (int side = 0; side < 2; side++)
           if (fds[1 + 2 * i + side].revents && relay->ends[i][side] >= 0)
@@ -127,3 +161,24 @@
   while (relay->silent_count < 0)
     g_usleep (1000);
 }
+
+/* Cuts what is connected now in one direction: nothing comes back to the caller. */
+void
+jd_relay_cut_one_way (jd_relay_t *relay)
+{
+  relay->one_way_count = relay->pair_count;
+}
+
+/* Resets what is connected now. */
+void
+jd_relay_reset (jd_relay_t *relay)
+{
+  relay->reset_wanted = 1;
+}
+
+/* Delays all bytes from now on; 0 ends the delay. */
+void
+jd_relay_delay (jd_relay_t *relay, int delay_ms)
+{
+  relay->delay_ms = delay_ms;
+}
