--- a/src/base/log_sink.c
+++ b/src/base/log_sink.c
@@ -8,7 +8,7 @@
 #include "base/clock.h"
 
 /* Lines that wait for a slow reader. */
-#define PENDING_BYTES_MAX (64 * 1024)
+#define PENDING_BYTES_MAX ((size_t)64 * 1024)
 /* Lines of one event: a steady rate, and a reserve for sudden changes. */
 #define LINES_PER_S 100.0
 #define LINES_RESERVE 300.0
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -129,7 +129,7 @@
     violate (soak, "true_coverage", call->id, "parts and missing parts");
   if (count < (uint32_t)ceil (0.75 * soak->lab.shards))
     violate (soak, "min_coverage", call->id, "too few parts");
-  if (reply->body->len != 4 * 16)
+  if (reply->body->len != (size_t)4 * 16)
     violate (soak, "whole_answer", call->id, "length of the body");
   for (size_t i = 16; i < reply->body->len; i += 16)
     {
