feat(host): spend the slack for extra requests over its window; leave the rotation when cut off

Hosts that were cut off from all targets stayed ready. Conclusion: part of the platform's slack comes with time; a host without targets is not ready.

--- a/src/config/host_settings.h
+++ b/src/config/host_settings.h
@@ -16,11 +16,12 @@
   uint16_t peer_port;
   char **seeds; /* "IP:port" of some hosts. */
   char *store_address;
-  int64_t stop_grace_us; /* Between SIGTERM and SIGKILL. */
-  int64_t drain_us;      /* In which a leaving target must get nothing new. */
-  int64_t config_us;     /* In which a new configuration must be in force. */
-  uint32_t retry_slack;  /* Extra requests of all hosts that a service bears. */
-  double cold_overage;   /* By how much a cold target's rate may be exceeded. */
+  int64_t stop_grace_us;   /* Between SIGTERM and SIGKILL. */
+  int64_t drain_us;        /* In which a leaving target must get nothing new. */
+  int64_t config_us;       /* In which a new configuration must be in force. */
+  uint32_t retry_slack;    /* Extra requests of all hosts that a service bears. */
+  int64_t retry_window_us; /* In which extra requests are counted. */
+  double cold_overage;     /* By how much a cold target's rate may be exceeded. */
   uint32_t cold_slack;
   bool first_start; /* The whole system starts for the first time. */
   uint32_t memory_mb;
--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -16,7 +16,15 @@
 #define GOSSIP_INTERVAL_S 0.25
 #define UPKEEP_INTERVAL_S 0.25
 /* Part of the slack for extra requests that hosts plan with. */
-#define RETRY_SLACK_SHARE 0.8
+#define RETRY_SLACK_SHARE 0.85
+/* Part of a host's slack that may be used at once. */
+#define RETRY_RESERVE_SHARE 0.4
+/* A host that reaches none of the targets of this share of services sends callers to
+ * other hosts, until it reaches them again but for the smaller share. */
+#define UNREACHED_TO_LEAVE 0.5
+#define UNREACHED_TO_RETURN 0.2
+/* How long that has to last. */
+#define UNREACHED_US (500 * JD_US_PER_MS)
 /* Answers of targets beyond this size are broken; sites state bodies up to 18 kB. */
 #define REPLY_BYTES_MAX (4 * 1024 * 1024)
 /* A request with its attempts takes about this much memory at most. */
@@ -44,15 +52,27 @@
   jd_replica_registry_set_subset (host->registry, hosts, rank);
 }
 
-/* Refills what a cold replica may get, and bounds the extra requests of its service. */
+/* Gives a service this host's part of the slack for extra requests: some to save, the
+ * rest over the window in which they are counted. */
+static void
+refill_pool (void *context, jd_replica_pool_t *pool)
+{
+  jd_host_t *host = context;
+  double slack = (double)host->retry_slack * RETRY_SLACK_SHARE / (double)host->hosts;
+  double reserve = MAX (slack * RETRY_RESERVE_SHARE, 1.0);
+  double window_s = (double)host->retry_window_us / (double)JD_US_PER_S;
+  jd_hedge_budget_set_slack (&pool->extra, slack * (1.0 - RETRY_RESERVE_SHARE) / window_s,
+                             reserve);
+  jd_hedge_budget_refill (&pool->extra, jd_monotonic_us ());
+}
+
+/* Refills what a cold replica may get. */
 static void
 refill_replica (void *context, jd_replica_t *replica)
 {
   jd_host_t *host = context;
   jd_replica_pool_t *pool = replica->pool;
   int64_t now_us = jd_monotonic_us ();
-  double slack = (double)host->retry_slack * RETRY_SLACK_SHARE / (double)host->hosts;
-  pool->extra.max_tokens = MAX (slack, 1.0);
   if (replica->cold_until_us <= now_us || pool->cold_per_s <= 0.0)
     {
       replica->cold_refill_us = now_us;
@@ -66,13 +86,37 @@
       MIN (replica->cold_tokens + pool->cold_per_s * share * elapsed_s, most);
 }
 
+/* Decides whether this host reaches enough targets to take requests. One that is cut off
+ * from them is not ready, so that the balancer sends callers to hosts that are not. */
+static void
+update_reach (jd_host_t *host, int64_t now_us)
+{
+  double share = jd_replica_registry_unreached (host->registry);
+  bool poor = share > (host->cut_off ? UNREACHED_TO_RETURN : UNREACHED_TO_LEAVE);
+  if (!poor)
+    host->unreached_since_us = 0;
+  else if (host->unreached_since_us == 0)
+    host->unreached_since_us = now_us;
+  bool cut_off =
+      poor && (host->cut_off || now_us - host->unreached_since_us >= UNREACHED_US);
+  if (cut_off == host->cut_off)
+    return;
+  host->cut_off = cut_off;
+  jd_log_event (G_LOG_LEVEL_WARNING, cut_off ? "targets_lost" : "targets_regained",
+                "unreached_share=%.2f hosts=%u", share, host->hosts);
+  jd_caller_server_close_after_answer (host->callers, cut_off || host->stopping);
+}
+
 /* Timer callback: regular upkeep. */
 static void
 on_upkeep (struct ev_loop *loop, ev_timer *timer, int events)
 {
   jd_host_t *host = timer->data;
-  apply_hosts (host, jd_monotonic_us ());
+  int64_t now_us = jd_monotonic_us ();
+  apply_hosts (host, now_us);
+  jd_replica_registry_each_pool (host->registry, refill_pool, host);
   jd_replica_registry_each (host->registry, refill_replica, host);
+  update_reach (host, now_us);
 }
 
 /* Registry event: a target may get requests. */
@@ -153,7 +197,7 @@
                           const jd_http_reader_t *reader)
 {
   jd_host_t *host = context;
-  bool ready = host->routes && !host->stopping;
+  bool ready = host->routes && !host->stopping && !host->cut_off;
   GString *fields = g_string_new (NULL);
   jd_caller_answer (caller, ready ? 200 : 503, fields, "", 0);
   g_string_free (fields, TRUE);
@@ -322,7 +366,7 @@
   host->stop_us = jd_monotonic_us ();
   jd_log_event (G_LOG_LEVEL_INFO, "host_stopping", "running=%u connections=%u",
                 host->requests.length, jd_caller_server_count (host->callers));
-  jd_caller_server_drain (host->callers);
+  jd_caller_server_close_after_answer (host->callers, true);
   jd_peer_gossip_send_now (host->gossip);
   ev_timer_init (&host->stop_timer, on_stop_tick, STOP_TICK_S, STOP_TICK_S);
   host->stop_timer.data = host;
@@ -355,6 +399,7 @@
     }
   host->stop_grace_us = settings->stop_grace_us;
   host->retry_slack = settings->retry_slack;
+  host->retry_window_us = settings->retry_window_us;
   host->cold_overage = settings->cold_overage;
   host->cold_slack = settings->cold_slack;
   learn_seeds (host, settings->seeds);
@@ -480,6 +525,7 @@
   host->incarnation = jd_entropy ();
   host->stop_grace_us = settings->stop_grace_us;
   host->retry_slack = settings->retry_slack;
+  host->retry_window_us = settings->retry_window_us;
   host->cold_overage = settings->cold_overage;
   host->cold_slack = settings->cold_slack;
   host->max_requests = settings->memory_mb * 1024 / 2 / REQUEST_MEMORY_KB;
--- a/src/daemons/host_defs.h
+++ b/src/daemons/host_defs.h
@@ -36,6 +36,7 @@
   uint64_t incarnation;
   int64_t stop_grace_us;
   uint32_t retry_slack;
+  int64_t retry_window_us;
   double cold_overage;
   uint32_t cold_slack;
   uint32_t max_requests;
@@ -57,6 +58,8 @@
   uint32_t salt;
   GQueue requests; /* jd_request_t */
 
+  bool cut_off; /* It reaches too few targets to take requests. */
+  int64_t unreached_since_us;
   bool stopping;
   int64_t stop_us;
   ev_timer stop_timer;
--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -14,7 +14,7 @@
 /* A whole copy is about 20 kB packed; many hosts may ask for one at the same time over a
  * link of 20 Mbit/s. */
 #define COPY_TIMEOUT_US (1500 * JD_US_PER_MS)
-#define COPY_BYTES_MAX (32 * 1024 * 1024)
+#define COPY_BYTES_MAX ((size_t)32 * 1024 * 1024)
 #define RECORDS_MAX (1U << 20)
 /* Hosts that hold a store reading that is older than this many intervals do not count as
  * reading. */
--- a/src/routing/connection_share.c
+++ b/src/routing/connection_share.c
@@ -51,6 +51,8 @@
   uint32_t of_kind = 0;
   for (uint32_t i = 0; i < count; i++)
     of_kind += is_local[i] == kind;
+  if (of_kind == 0)
+    return 0;
   uint32_t place = 0, taken = 0;
   for (uint32_t i = 0; i < count; i++)
     {
--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -287,9 +287,7 @@
   if (check_finished (fanout, now_us))
     return NEVER_US;
   int64_t wake_us = fanout->deadline_us;
-  if (fanout->early_us > now_us && fanout->done_count >= fanout->needed)
-    wake_us = MIN (wake_us, fanout->early_us);
-  else if (fanout->early_us > now_us && fanout->needed < fanout->part_count)
+  if (fanout->early_us > now_us && fanout->needed < fanout->part_count)
     wake_us = MIN (wake_us, fanout->early_us);
   if (!fanout->route->idempotent)
     return wake_us;
--- a/src/routing/hedge_budget.c
+++ b/src/routing/hedge_budget.c
@@ -19,6 +19,28 @@
   budget->tokens = MIN (max_tokens (budget), budget->tokens + requests * fraction);
 }
 
+/* Sets the tokens that come with time, and the bound on saved ones, which a new budget
+ * starts with. */
+void
+jd_hedge_budget_set_slack (jd_hedge_budget_t *budget, double slack_per_s, double reserve)
+{
+  if (budget->max_tokens <= 0.0)
+    budget->tokens = reserve;
+  budget->slack_per_s = slack_per_s;
+  budget->max_tokens = reserve;
+}
+
+/* Adds the tokens that came with time. */
+void
+jd_hedge_budget_refill (jd_hedge_budget_t *budget, int64_t now_us)
+{
+  double elapsed_s =
+      budget->refilled_us > 0 ? (double)(now_us - budget->refilled_us) / 1e6 : 0.0;
+  budget->refilled_us = now_us;
+  budget->tokens = MIN (max_tokens (budget),
+                        budget->tokens + MAX (elapsed_s, 0.0) * budget->slack_per_s);
+}
+
 /* Takes the token of one extra request; returns FALSE when there is none. */
 gboolean
 jd_hedge_budget_take (jd_hedge_budget_t *budget)
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -27,12 +27,24 @@
   return replica;
 }
 
+/* Gives a reference to a pool back; the last one frees it. */
+void
+jd_replica_pool_unref (jd_replica_pool_t *pool)
+{
+  if (--pool->references > 0)
+    return;
+  g_ptr_array_free (pool->replicas, TRUE);
+  g_free (pool->service);
+  g_free (pool);
+}
+
 /* Gives a reference back; the last one frees the replica. */
 void
 jd_replica_unref (jd_replica_t *replica)
 {
   if (!replica || --replica->references > 0)
     return;
+  jd_replica_pool_unref (replica->pool);
   g_free (replica->id);
   g_free (replica->zone);
   g_free (replica);
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -51,6 +51,7 @@
   bool local_zone;
   bool evacuated; /* Its zone gets nothing new. */
   bool in_subset; /* This host may hold connections to it. */
+  bool preferred; /* A connection is kept open to it, for requests to come. */
 
   double slowness;      /* Smoothed latency relative to that of its peers; 1 is usual. */
   double failure_share; /* Smoothed share of failed attempts. */
@@ -85,6 +86,7 @@
 
 jd_replica_t *jd_replica_ref (jd_replica_t *replica);
 void jd_replica_unref (jd_replica_t *replica);
+void jd_replica_pool_unref (jd_replica_pool_t *pool);
 bool jd_replica_is_usable (const jd_replica_t *replica, int64_t now_us);
 void jd_replica_observe (jd_replica_t *replica, jd_replica_outcome_t outcome,
                          int64_t elapsed_us, int64_t usual_us, int64_t now_us);
--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -18,17 +18,6 @@
   uint32_t rank;
 };
 
-/* Gives a reference to a pool back; the last one frees it. */
-void
-jd_replica_pool_unref (jd_replica_pool_t *pool)
-{
-  if (--pool->references > 0)
-    return;
-  g_ptr_array_free (pool->replicas, TRUE);
-  g_free (pool->service);
-  g_free (pool);
-}
-
 /* Hash table callback for pools. */
 static void
 free_pool (gpointer data)
@@ -99,8 +88,20 @@
   for (uint32_t i = 0; i < count; i++)
     is_local[i] = ((jd_replica_t *)pool->replicas->pdata[i])->local_zone;
   jd_connection_share_mark (is_local, count, held, registry->rank, included);
+  /* With a connection to each replica, all are kept open. Where there are too few, a host
+   * keeps one for the replica that gets most of its requests. */
+  bool keeps_all = held >= count;
+  jd_replica_t *first = NULL;
   for (uint32_t i = 0; i < count; i++)
-    ((jd_replica_t *)pool->replicas->pdata[i])->in_subset = included[i];
+    {
+      jd_replica_t *replica = pool->replicas->pdata[(i + registry->rank) % count];
+      replica->in_subset = included[(i + registry->rank) % count];
+      replica->preferred = replica->in_subset && keeps_all;
+      if (replica->in_subset && (!first || (replica->local_zone && !first->local_zone)))
+        first = replica;
+    }
+  if (first)
+    first->preferred = true;
   g_free (is_local);
   g_free (included);
 }
@@ -151,7 +152,6 @@
   replica->evacuated = g_hash_table_contains (registry->evacuated, spec->zone);
   jd_replica_pool_t *pool = jd_replica_registry_pool (registry, spec->service);
   replica->pool = pool;
-  jd_replica_pool_unref (pool); /* The registry's own reference outlives replicas. */
   g_ptr_array_add (pool->replicas, replica);
   g_ptr_array_sort (pool->replicas, compare_replicas);
   g_hash_table_insert (registry->by_id, replica->id, replica);
@@ -269,6 +269,45 @@
     visit (context, value);
 }
 
+/* Calls visit for the pool of each service. */
+void
+jd_replica_registry_each_pool (jd_replica_registry_t *registry,
+                               void (*visit) (void *context, jd_replica_pool_t *pool),
+                               void *context)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, registry->by_service);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    visit (context, value);
+}
+
+/* Returns the share of services with targets of which this host reaches none. */
+double
+jd_replica_registry_unreached (jd_replica_registry_t *registry)
+{
+  uint32_t services = 0, unreached = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, registry->by_service);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const jd_replica_pool_t *pool = value;
+      uint32_t wanted = 0, lost = 0;
+      for (guint i = 0; i < pool->replicas->len; i++)
+        {
+          const jd_replica_t *replica = pool->replicas->pdata[i];
+          bool is_wanted =
+              replica->in_subset && !replica->draining && !replica->evacuated;
+          wanted += is_wanted;
+          lost += is_wanted && replica->unreachable;
+        }
+      services += wanted > 0;
+      unreached += wanted > 0 && lost == wanted;
+    }
+  return services > 0 ? (double)unreached / (double)services : 0.0;
+}
+
 /* Returns the number of published targets. */
 uint32_t
 jd_replica_registry_count (const jd_replica_registry_t *registry)
--- a/src/routing/replica_registry.h
+++ b/src/routing/replica_registry.h
@@ -19,7 +19,6 @@
 void jd_replica_registry_free (jd_replica_registry_t *registry);
 jd_replica_pool_t *jd_replica_registry_pool (jd_replica_registry_t *registry,
                                              const char *service);
-void jd_replica_pool_unref (jd_replica_pool_t *pool);
 void jd_replica_registry_put (jd_replica_registry_t *registry,
                               const jd_replica_spec_t *spec, int64_t now_us);
 void jd_replica_registry_remove (jd_replica_registry_t *registry, const char *id);
@@ -31,4 +30,9 @@
 void jd_replica_registry_each (jd_replica_registry_t *registry,
                                void (*visit) (void *context, jd_replica_t *replica),
                                void *context);
+void jd_replica_registry_each_pool (jd_replica_registry_t *registry,
+                                    void (*visit) (void *context,
+                                                   jd_replica_pool_t *pool),
+                                    void *context);
+double jd_replica_registry_unreached (jd_replica_registry_t *registry);
 uint32_t jd_replica_registry_count (const jd_replica_registry_t *registry);
--- a/src/transport/caller_server.c
+++ b/src/transport/caller_server.c
@@ -12,8 +12,8 @@
 #include "transport/socket_address.h"
 
 /* Bytes that a caller may send ahead of the answer to its request. */
-#define AHEAD_LIMIT_BYTES (64 * 1024)
-#define READ_BYTES (16 * 1024)
+#define AHEAD_LIMIT_BYTES ((size_t)64 * 1024)
+#define READ_BYTES ((size_t)16 * 1024)
 #define LISTEN_BACKLOG 1024
 #define SWEEP_INTERVAL_S 0.5
 /* Connections taken from the listener per wake-up, so that running requests go on. */
@@ -55,7 +55,7 @@
   ev_timer sweep;
   int listen_fd;
   GQueue callers;
-  bool draining;
+  bool closes_after_answer;
 };
 
 /* Returns the standard reason phrase of a status. */
@@ -270,7 +270,7 @@
   bool no_body = status == 204 || status == 304;
   caller->busy = false;
   caller->data = NULL;
-  if (!caller->reader.keep_alive || server->draining)
+  if (!caller->reader.keep_alive || server->closes_after_answer)
     caller->closing = true;
   g_string_append_printf (caller->output, "HTTP/1.1 %u %s\r\n", status,
                           jd_http_reason (status));
@@ -422,8 +422,12 @@
 {
   jd_caller_server_close_listener (server);
   ev_timer_stop (server->loop, &server->sweep);
-  while (server->callers.head)
-    caller_close (server->callers.head->data);
+  GList *next = NULL;
+  for (GList *item = server->callers.head; item; item = next)
+    {
+      next = item->next;
+      caller_close (item->data);
+    }
   g_free (server);
 }
 
@@ -453,11 +457,12 @@
     }
 }
 
-/* From now on each answer closes its connection. */
+/* Sets whether each answer closes its connection, so that the caller's next one may reach
+ * another host. */
 void
-jd_caller_server_drain (jd_caller_server_t *server)
+jd_caller_server_close_after_answer (jd_caller_server_t *server, bool closes)
 {
-  server->draining = true;
+  server->closes_after_answer = closes;
 }
 
 /* Stops taking new connections. */
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -734,6 +734,25 @@
   return false;
 }
 
+/* TRUE when a connection to the replica is to be kept open: it is the preferred one, or
+ * the preferred one cannot be used. */
+static bool
+is_warm (const jd_replica_t *replica, int64_t now_us)
+{
+  if (!replica->in_subset || replica->evacuated || replica->draining)
+    return false;
+  if (replica->preferred)
+    return true;
+  const GPtrArray *replicas = replica->pool->replicas;
+  for (guint i = 0; i < replicas->len; i++)
+    {
+      const jd_replica_t *other = replicas->pdata[i];
+      if (other->preferred && jd_replica_is_usable (other, now_us))
+        return false;
+    }
+  return true;
+}
+
 /* Timer callback: closes overdue connections, probes unreachable targets and keeps one
  * connection open to each target, so that requests need not wait for one. */
 static void
@@ -759,7 +778,7 @@
       if (!alive || link->retired)
         continue;
       jd_replica_t *replica = link->replica;
-      bool wanted = replica->in_subset && !replica->evacuated && !replica->draining;
+      bool wanted = is_warm (replica, now_us);
       bool due = !replica->unreachable || replica->ejected_until_us <= now_us;
       if (link->connections.length == 0 && wanted && due && warm)
         open_connection (link);
@@ -782,35 +801,52 @@
   return links;
 }
 
+/* Frees an exchange without telling its owner. */
+static void
+drop_exchange (jd_exchange_t *exchange)
+{
+  jd_outgoing_unref (exchange->outgoing);
+  g_free (exchange);
+}
+
+/* Closes all connections of a link and frees it. */
+static void
+free_link (jd_link_t *link)
+{
+  GList *next = NULL;
+  for (GList *item = link->waiting.head; item; item = next)
+    {
+      next = item->next;
+      drop_exchange (item->data);
+    }
+  g_queue_init (&link->waiting);
+  for (GList *item = link->connections.head; item; item = next)
+    {
+      next = item->next;
+      jd_connection_t *connection = item->data;
+      jd_exchange_t *exchange = connection->exchange;
+      connection->exchange = NULL;
+      if (exchange)
+        {
+          drop_exchange (exchange);
+          connection->state = CONNECTION_IDLE;
+        }
+      close_connection (connection);
+    }
+  link->retired = true;
+  free_link_if_done (link);
+}
+
 /* Closes all connections. Owners of running exchanges hear nothing more. */
 void
 jd_replica_links_free (jd_replica_links_t *links)
 {
   ev_timer_stop (links->options.loop, &links->maintenance);
-  while (links->all.head)
+  GList *next = NULL;
+  for (GList *item = links->all.head; item; item = next)
     {
-      jd_link_t *link = links->all.head->data;
-      link->retired = true;
-      while (link->waiting.head)
-        {
-          jd_exchange_t *exchange = link->waiting.head->data;
-          g_queue_unlink (&link->waiting, &exchange->node);
-          jd_outgoing_unref (exchange->outgoing);
-          g_free (exchange);
-        }
-      while (link->connections.head)
-        {
-          jd_connection_t *connection = link->connections.head->data;
-          if (connection->exchange)
-            {
-              jd_outgoing_unref (connection->exchange->outgoing);
-              g_free (connection->exchange);
-              connection->exchange = NULL;
-              connection->state = CONNECTION_IDLE;
-            }
-          close_connection (connection);
-        }
-      free_link_if_done (link);
+      next = item->next;
+      free_link (item->data);
     }
   g_free (links);
 }
--- a/test/process/test_host.c
+++ b/test/process/test_host.c
@@ -5,8 +5,8 @@
 #include "support/host_lab.h"
 #include "support/test_main.h"
 
-#define SHARDS 4
-#define STUDIO (2 * SHARDS) /* Index of the first target of studio. */
+#define SHARDS 4U
+#define STUDIO (size_t) (2U * SHARDS) /* Index of the first target of studio. */
 
 /* Returns a request; free with g_free. */
 static char *
@@ -73,8 +73,8 @@
   char **signatures = g_strsplit (reply->signatures, ",", -1);
   CU_ASSERT_EQUAL (g_strv_length (signatures), SHARDS);
   g_strfreev (signatures);
-  CU_ASSERT_EQUAL (reply->body->len, 4 * 16);
-  for (int i = 1; i < 4; i++)
+  CU_ASSERT_EQUAL (reply->body->len, (size_t)4 * 16);
+  for (size_t i = 1; i < 4; i++)
     CU_ASSERT_TRUE (
         memcmp (reply->body->str + 16 * (i - 1), reply->body->str + 16 * i, 16) >= 0);
   uint32_t runs = 0;
