--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -17,6 +17,8 @@
 #define RETRY_UNREADY_US (250 * JD_US_PER_MS)
 #define RETRY_MAX_US (5 * JD_US_PER_S)
 #define KEY_BYTES_MAX 512
+/* Parts that the log names of one answer. */
+#define MISSING_NOTED_MAX 4
 
 static void on_request_timer (struct ev_loop *loop, ev_timer *timer, int events);
 
@@ -116,6 +118,30 @@
     }
 }
 
+/* Logs the parts that an answer lacks, with the last target that was asked for each. */
+static void
+note_missing_parts (const jd_request_t *request, int64_t now_us)
+{
+  uint32_t noted = 0;
+  for (uint32_t i = 0; i < request->fanout->part_count && noted < MISSING_NOTED_MAX; i++)
+    {
+      const jd_fanout_part_t *part = &request->fanout->parts[i];
+      if (part->done)
+        continue;
+      noted++;
+      const jd_fanout_attempt_t *last =
+          part->attempt_count > 0 ? &part->attempts[part->attempt_count - 1] : NULL;
+      jd_log_event (
+          G_LOG_LEVEL_INFO, "part_missing",
+          "id=%s part=%u service=%s replicas=%u attempts=%u running=%u target=%s "
+          "waited_ms=%.1f tokens=%.1f",
+          request->outgoing->id, i, part->pool->service, part->pool->replicas->len,
+          part->attempt_count, part->running, last ? last->replica->id : "-",
+          last ? (double)(now_us - last->started_us) / (double)JD_US_PER_MS : 0.0,
+          part->pool->extra.tokens);
+    }
+}
+
 /* Logs and counts the end of a request. */
 static void
 note_end (jd_request_t *request, jd_host_end_t end, uint32_t status)
@@ -123,6 +149,8 @@
   jd_host_t *host = request->host;
   const jd_fanout_t *fanout = request->fanout;
   int64_t now_us = jd_monotonic_us ();
+  if (end != JD_HOST_END_SERVED && end != JD_HOST_END_CALLER_LEFT)
+    note_missing_parts (request, now_us);
   jd_counter_add (host->ends[end], 1);
   jd_counter_add (host->hedges, fanout->hedges);
   jd_counter_add (host->retries, fanout->retries);
--- a/test/support/search_load.c
+++ b/test/support/search_load.c
@@ -212,8 +212,8 @@
       world->targets[i].replica->idle_connections = 1;
       /* At most one of a shard's targets is slow, so that a quick one is left. */
       bool may_be_slow = i % load->replicas == (i / load->replicas) % load->replicas;
-      bool is_slow =
-          may_be_slow && jd_rng_below (&rng, 100) < load->slow_percent * load->replicas;
+      bool is_slow = may_be_slow && jd_rng_below (&rng, 100) <
+                                        (uint64_t)load->slow_percent * load->replicas;
       world->targets[i].speed = is_slow ? load->slow_factor : 1.0;
       world->targets[i].dead = i / load->replicas < load->dead_shards;
       world->targets[i].pause_offset_us =
--- a/test/unit/test_hedge_budget.c
+++ b/test/unit/test_hedge_budget.c
@@ -13,8 +13,9 @@
     {
       *now_us += 10000;
       due += requests_per_s / 100.0;
-      for (; due >= 1.0; due -= 1.0)
-        jd_hedge_budget_add (budget, 1, 0.17);
+      uint32_t requests = (uint32_t)due;
+      due -= requests;
+      jd_hedge_budget_add (budget, requests, 0.17);
       jd_hedge_budget_refill (budget, *now_us);
       while (jd_hedge_budget_take (budget))
         taken++;
