--- /dev/null
+++ b/test/unit/test_published_records.c
@@ -0,0 +1,165 @@
+#include "published_records.h"
+
+#include <string.h>
+
+#include "base/rng.h"
+#include "support/test_main.h"
+
+static const char good_config[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"A.example\",\"prefix\":"
+    "\"/s/\",\"routeKind\":\"unsafe\",\"timeoutMs\":800,\"targetLatencyMs\":120,"
+    "\"priority\":1,\"gather\":[\"s1\",\"s2\"],\"maxAttempts\":2,\"topK\":20,"
+    "\"minCoverage\":0.89,\"public\":false},{\"name\":\"r2\",\"host\":\"a.example\","
+    "\"prefix\":\"/w/\",\"routeKind\":\"unsafe\",\"split\":[{\"service\":\"x\","
+    "\"weight\":3},{\"service\":\"y\",\"weight\":1}],\"maxAttempts\":1}],\"services\":"
+    "[{\"name\":\"s1\",\"maxConns\":26,\"coldStartS\":3.0,\"coldPerS\":4}],\"limits\":"
+    "{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
+    "\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\",\"k2\"],"
+    "\"priority\":1,\"ratePerS\":41,\"burst\":42}]}";
+
+static void
+ignore_replica (void *context, jd_replica_t *replica)
+{
+}
+
+static jd_replica_registry_t *
+new_registry (void)
+{
+  jd_replica_events_t events = { ignore_replica, ignore_replica, NULL };
+  return jd_replica_registry_new ("a", &events);
+}
+
+/* Guards against fields of the platform that are taken for something else. A scattered
+ * route may always be repeated, whatever its kind says. */
+static void
+good_configuration_is_decoded (void)
+{
+  jd_replica_registry_t *registry = new_registry ();
+  GError *error = NULL;
+  jd_route_table_t *table =
+      jd_platform_decode_routes (registry, good_config, strlen (good_config), &error);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (table);
+  g_assert (table != NULL);
+  jd_route_table_finish (table, NULL);
+  const jd_route_t *search = jd_route_table_match (table, "a.example", "/s/1", 4);
+  const jd_route_t *split = jd_route_table_match (table, "a.example", "/w/1", 4);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (search);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (split);
+  g_assert (search != NULL && split != NULL);
+  CU_ASSERT_EQUAL (table->version, 7);
+  CU_ASSERT_EQUAL (search->kind, JD_ROUTE_SCATTER);
+  CU_ASSERT_TRUE (search->idempotent);
+  CU_ASSERT_EQUAL (search->timeout_us, 800000);
+  CU_ASSERT_EQUAL (search->objective_us, 120000);
+  CU_ASSERT_EQUAL (search->top_k, 20);
+  CU_ASSERT_EQUAL (split->kind, JD_ROUTE_WEIGHTED);
+  CU_ASSERT_FALSE (split->idempotent);
+  CU_ASSERT_EQUAL (table->head_bytes, 16384);
+  CU_ASSERT_EQUAL (table->idle_timeout_us, 15000000);
+  CU_ASSERT_STRING_EQUAL (jd_route_table_tenant (table, "k2")->name, "t1");
+  CU_ASSERT_DOUBLE_EQUAL (jd_route_table_tenant (table, "k1")->rate_per_s, 41.0, 0.001);
+  jd_route_table_unref (table);
+  jd_replica_registry_free (registry);
+}
+
+/* Guards against a damaged configuration that is put in force, and against an error that
+ * does not name the field. */
+static void
+bad_configurations_are_refused (void)
+{
+  static const struct
+  {
+    const char *from, *to, *named;
+  } cases[] = {
+    { "\"version\":7", "\"version\":\"7\"", "version" },
+    { "\"host\":\"A.example\"", "\"host\":5", "host" },
+    { "\"prefix\":\"/s/\"", "\"prefix\":\"s/\"", "prefix" },
+    { "\"timeoutMs\":800", "\"timeoutMs\":-1", "numbers" },
+    { "\"gather\":[\"s1\",\"s2\"]", "\"gather\":[\"s1\",2]", "services" },
+    { "\"weight\":3", "\"weight\":\"many\"", "services" },
+    { "\"name\":\"t1\",", "", "tenants" },
+    { "\"maxBodyBytes\":262144", "\"maxBodyBytes\":[]", "limits" },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      jd_replica_registry_t *registry = new_registry ();
+      GString *text = g_string_new (good_config);
+      g_string_replace (text, cases[i].from, cases[i].to, 1);
+      GError *error = NULL;
+      CU_ASSERT_PTR_NULL (
+          jd_platform_decode_routes (registry, text->str, text->len, &error));
+      CU_ASSERT_PTR_NOT_NULL_FATAL (error);
+      g_assert (error != NULL);
+      CU_ASSERT_PTR_NOT_NULL (strstr (error->message, cases[i].named));
+      g_clear_error (&error);
+      g_string_free (text, TRUE);
+      jd_replica_registry_free (registry);
+    }
+}
+
+/* Guards against crashes on damaged records. */
+static void
+damaged_configurations_are_survived (void)
+{
+  jd_philox_t state = { .seed = 21 };
+  jd_rng_t rng = jd_philox_rng (&state);
+  const char *rounds_text = g_getenv ("JACKDAW_FUZZ_ROUNDS");
+  uint64_t rounds = rounds_text ? g_ascii_strtoull (rounds_text, NULL, 10) : 3000;
+  char text[sizeof (good_config)];
+  for (uint64_t round = 0; round < rounds; round++)
+    {
+      memcpy (text, good_config, sizeof (text));
+      for (uint64_t i = jd_rng_below (&rng, 4); i < 4; i++)
+        text[jd_rng_below (&rng, sizeof (text) - 1)] =
+            "0123456789{}[]\",:truefalsn-eE.\\ "[jd_rng_below (&rng, 32)];
+      jd_replica_registry_t *registry = new_registry ();
+      GError *error = NULL;
+      jd_route_table_t *table =
+          jd_platform_decode_routes (registry, text, sizeof (text) - 1, &error);
+      CU_ASSERT_TRUE ((table == NULL) == (error != NULL));
+      jd_route_table_unref (table);
+      g_clear_error (&error);
+      jd_replica_registry_free (registry);
+    }
+}
+
+static bool
+is_same (const char *key, const char *before, const char *after)
+{
+  GBytes *left = g_bytes_new (before, strlen (before));
+  GBytes *right = g_bytes_new (after, strlen (after));
+  bool same = jd_platform_record_is_same (NULL, key, left, right);
+  g_bytes_unref (left);
+  g_bytes_unref (right);
+  return same;
+}
+
+/* Guards against heartbeats that reach all hosts, and against changes that reach none. */
+static void
+heartbeats_are_no_changes (void)
+{
+  const char *entry = "{\"service\":\"s\",\"seq\":1,\"coldLeftMs\":900}";
+  CU_ASSERT_TRUE (is_same ("servers/i", entry,
+                           "{\"service\":\"s\",\"seq\":2,"
+                           "\"coldLeftMs\":500}"));
+  CU_ASSERT_FALSE (is_same ("servers/i", entry,
+                            "{\"service\":\"t\",\"seq\":2,"
+                            "\"coldLeftMs\":500}"));
+  CU_ASSERT_FALSE (is_same ("servers/i", entry,
+                            "{\"service\":\"s\",\"seq\":2,"
+                            "\"coldLeftMs\":3000}"));
+  CU_ASSERT_FALSE (is_same ("servers/i", entry, "not json"));
+  CU_ASSERT_FALSE (is_same ("op/config", "{\"seq\":1}", "{\"seq\":2}"));
+}
+
+int
+main (void)
+{
+  static const jd_test_case_t cases[] = {
+    { "good configuration", good_configuration_is_decoded },
+    { "bad configurations", bad_configurations_are_refused },
+    { "damaged configurations", damaged_configurations_are_survived },
+    { "heartbeats are no changes", heartbeats_are_no_changes },
+  };
+  return JD_TEST_RUN ("published_records", cases);
+}
