feat(routing): ask replicas beyond the share when the others are much worse

Ruled out: the budget of extra attempts (it had tokens in these seconds). Conclusion: the share is a preference with a cost; idle connections beyond it close after 2 s. Restarted hosts divide rates for 1 s instead of 2 s, which the model of the fleet bears.

--- a/src/limits/fleet_quota.c
+++ b/src/limits/fleet_quota.c
@@ -32,9 +32,9 @@
 /* Above this part of its burst a tenant is not divided among hosts. */
 #define FULL_SHARE 0.5
 /* Part of a burst that a restarted host assumes to be left. */
-#define RESTART_BURST_SHARE 0.3
+#define RESTART_BURST_SHARE 0.5
 /* A restarted host has heard of all others after about this time. */
-#define RESTART_US (2 * JD_US_PER_S)
+#define RESTART_US JD_US_PER_S
 /* Hosts that have not heard of each other yet admit too much together. They make up for
  * it within the window in which the platform counts, 5 s on these sites; older debt is
  * forgiven. */
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -55,7 +55,7 @@
 jd_replica_is_usable (const jd_replica_t *replica, int64_t now_us)
 {
   return !replica->removed && !replica->draining && !replica->evacuated &&
-         replica->in_subset && replica->ejected_until_us <= now_us;
+         replica->ejected_until_us <= now_us;
 }
 
 /* Lets old observations fade. */
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -50,7 +50,7 @@
   bool removed; /* No longer published; gets nothing new. */
   bool local_zone;
   bool evacuated; /* Its zone gets nothing new. */
-  bool in_subset; /* This host may hold connections to it. */
+  bool in_share;  /* Its connections have room for this host by plan. */
   bool preferred; /* A connection is kept open to it, for requests to come. */
 
   double slowness;      /* Smoothed latency relative to that of its peers; 1 is usual. */
--- a/src/routing/replica_choice.c
+++ b/src/routing/replica_choice.c
@@ -14,6 +14,9 @@
 #define CONNECT_COST_US (6 * JD_US_PER_MS)
 /* Zones are up to 1.4 ms apart, and traffic between them has a price. */
 #define FAR_COST_US (3 * JD_US_PER_MS)
+/* A replica beyond this host's share of connections is asked when the others are much
+ * worse; its target may refuse the connection. */
+#define BEYOND_SHARE_COST_US (25 * JD_US_PER_MS)
 /* What a failed attempt costs: noticing it and asking another target. */
 #define FAILURE_COST_US (80 * JD_US_PER_MS)
 #define COLD_FACTOR 1.6
@@ -58,6 +61,8 @@
     cost_us += (double)STALL_COST_US;
   if (replica->idle_connections == 0)
     cost_us += (double)CONNECT_COST_US;
+  if (!replica->in_share)
+    cost_us += (double)BEYOND_SHARE_COST_US;
   if (!replica->local_zone)
     cost_us += (double)FAR_COST_US;
   return (int64_t)cost_us;
--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -76,7 +76,7 @@
 
 /* Decides which replicas of a pool this host connects to. */
 static void
-assign_subset (jd_replica_registry_t *registry, jd_replica_pool_t *pool)
+assign_share (jd_replica_registry_t *registry, jd_replica_pool_t *pool)
 {
   uint32_t count = pool->replicas->len;
   if (count == 0)
@@ -95,9 +95,9 @@
   for (uint32_t i = 0; i < count; i++)
     {
       jd_replica_t *replica = pool->replicas->pdata[(i + registry->rank) % count];
-      replica->in_subset = included[(i + registry->rank) % count];
-      replica->preferred = replica->in_subset && keeps_all;
-      if (replica->in_subset && (!first || (replica->local_zone && !first->local_zone)))
+      replica->in_share = included[(i + registry->rank) % count];
+      replica->preferred = replica->in_share && keeps_all;
+      if (replica->in_share && (!first || (replica->local_zone && !first->local_zone)))
         first = replica;
     }
   if (first)
@@ -122,7 +122,7 @@
   replica->removed = true;
   jd_replica_pool_t *pool = replica->pool;
   g_ptr_array_remove (pool->replicas, replica);
-  assign_subset (registry, pool);
+  assign_share (registry, pool);
   registry->events.on_removed (registry->events.context, replica);
   g_hash_table_remove (registry->by_id, replica->id);
 }
@@ -155,7 +155,7 @@
   g_ptr_array_add (pool->replicas, replica);
   g_ptr_array_sort (pool->replicas, compare_replicas);
   g_hash_table_insert (registry->by_id, replica->id, replica);
-  assign_subset (registry, pool);
+  assign_share (registry, pool);
   return replica;
 }
 
@@ -253,7 +253,7 @@
   gpointer value;
   g_hash_table_iter_init (&iter, registry->by_service);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    assign_subset (registry, value);
+    assign_share (registry, value);
 }
 
 /* Calls visit for each replica. */
--- a/src/routing/route_table.c
+++ b/src/routing/route_table.c
@@ -231,7 +231,7 @@
   for (guint i = 0; i < pool->replicas->len; i++)
     {
       const jd_replica_t *replica = pool->replicas->pdata[i];
-      bool is_wanted = replica->in_subset && !replica->draining && !replica->evacuated;
+      bool is_wanted = replica->in_share && !replica->draining && !replica->evacuated;
       wanted += is_wanted;
       lost += is_wanted && replica->unreachable;
     }
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -27,6 +27,9 @@
 #define SHORT_LIFE_US (150 * JD_US_PER_MS)
 /* How long no further one is opened then. */
 #define EXCESS_PAUSE_US (250 * JD_US_PER_MS)
+/* A connection that is not kept open closes when it is idle for this long, so that other
+ * hosts can connect. */
+#define SPARE_IDLE_US (2 * JD_US_PER_S)
 /* Before any host was heard, connections are opened for requests only. */
 #define WARM_UP_US (800 * JD_US_PER_MS)
 /* Skips this many answers of other requests before the connection is given up. */
@@ -706,6 +709,25 @@
     }
 }
 
+/* TRUE when a connection to the replica is to be kept open: it is the preferred one, or
+ * the preferred one cannot be used. */
+static bool
+is_kept (const jd_replica_t *replica, int64_t now_us)
+{
+  if (!replica->in_share || replica->evacuated || replica->draining)
+    return false;
+  if (replica->preferred)
+    return true;
+  const GPtrArray *replicas = replica->pool->replicas;
+  for (guint i = 0; i < replicas->len; i++)
+    {
+      const jd_replica_t *other = replicas->pdata[i];
+      if (other->preferred && jd_replica_is_usable (other, now_us))
+        return false;
+    }
+  return true;
+}
+
 /* Closes a connection that is overdue; FALSE when the list of connections changed. */
 static bool
 maintain_connection (jd_connection_t *connection, int64_t now_us)
@@ -720,7 +742,7 @@
       fail_opening (connection, "timeout");
       return false;
     case CONNECTION_IDLE:
-      if (link->replica->in_subset &&
+      if ((is_kept (link->replica, now_us) || age_us < SPARE_IDLE_US) &&
           (connection->idle_limit_us == 0 ||
            age_us <= connection->idle_limit_us - IDLE_MARGIN_US))
         return true;
@@ -742,25 +764,6 @@
   return false;
 }
 
-/* TRUE when a connection to the replica is to be kept open: it is the preferred one, or
- * the preferred one cannot be used. */
-static bool
-is_warm (const jd_replica_t *replica, int64_t now_us)
-{
-  if (!replica->in_subset || replica->evacuated || replica->draining)
-    return false;
-  if (replica->preferred)
-    return true;
-  const GPtrArray *replicas = replica->pool->replicas;
-  for (guint i = 0; i < replicas->len; i++)
-    {
-      const jd_replica_t *other = replicas->pdata[i];
-      if (other->preferred && jd_replica_is_usable (other, now_us))
-        return false;
-    }
-  return true;
-}
-
 /* Timer callback: closes overdue connections, probes unreachable targets and keeps one
  * connection open to each target, so that requests need not wait for one. */
 static void
@@ -786,7 +789,7 @@
       if (!alive || link->retired)
         continue;
       jd_replica_t *replica = link->replica;
-      bool wanted = is_warm (replica, now_us);
+      bool wanted = is_kept (replica, now_us);
       bool due = !replica->unreachable || replica->ejected_until_us <= now_us;
       if (link->connections.length == 0 && wanted && due && warm &&
           now_us >= link->open_after_us)
--- a/test/unit/test_replica_choice.c
+++ b/test/unit/test_replica_choice.c
@@ -89,6 +89,23 @@
   jd_replica_registry_free (registry);
 }
 
+/* Guards against connections beyond what targets take, and against a search that fails
+ * while a replica outside the host's share is well. Seen with half of the targets slow or
+ * dead (trouble-3 of the grown sites). */
+static void
+replica_beyond_the_share_is_the_last_choice (void)
+{
+  jd_replica_registry_t *registry = new_registry ();
+  jd_replica_t *near = put (registry, "n", "a", 1);
+  jd_replica_t *beyond = put (registry, "x", "a", 1);
+  beyond->in_share = false;
+  near->in_flight = 2;
+  CU_ASSERT_PTR_EQUAL (choose (registry, NULL), near);
+  near->slowness = 5.0;
+  CU_ASSERT_PTR_EQUAL (choose (registry, NULL), beyond);
+  jd_replica_registry_free (registry);
+}
+
 /* Guards against requests to targets that leave, are gone or whose zone is evacuated. */
 static void
 leaving_targets_get_nothing (void)
@@ -163,6 +180,7 @@
 {
   static const jd_test_case_t cases[] = {
     { "near replica unless it is worse", near_replica_unless_it_is_worse },
+    { "replica beyond the share", replica_beyond_the_share_is_the_last_choice },
     { "leaving targets get nothing", leaving_targets_get_nothing },
     { "restarted target starts anew", restarted_target_starts_anew },
     { "failing target is left out", failing_target_is_left_out_for_a_while },
