refactor(host): remove what nothing reads, and answer only the readiness path

Fields that were decoded and not used (priorities, cold start times, a second latency) and a setting without effect are gone; the readiness address answers 404 on other paths.

--- a/src/config/host_settings.c
+++ b/src/config/host_settings.c
@@ -128,8 +128,6 @@
   settings->retry_window_us =
       (int64_t)(read_number (reader, "limits", "retry-window-s", 10.0, 0.1, 3600.0) *
                 (double)JD_US_PER_S);
-  settings->cold_overage =
-      read_number (reader, "limits", "cold-overage", 1.0, 1.0, 100.0);
   settings->cold_slack =
       (uint32_t)read_number (reader, "limits", "cold-slack", 0.0, 0.0, 1e6);
   settings->memory_mb =
--- a/src/config/host_settings.h
+++ b/src/config/host_settings.h
@@ -21,7 +21,6 @@
   int64_t config_us;       /* In which a new configuration must be in force. */
   uint32_t retry_slack;    /* Extra requests of all hosts that a service bears. */
   int64_t retry_window_us; /* In which extra requests are counted. */
-  double cold_overage;     /* By how much a cold target's rate may be exceeded. */
   uint32_t cold_slack;
   bool first_start; /* The whole system starts for the first time. */
   uint32_t memory_mb;
--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -197,9 +197,12 @@
                           const jd_http_reader_t *reader)
 {
   jd_host_t *host = context;
+  const char *path = host->platform.readiness_path;
+  bool is_known = reader->target_len == strlen (path) &&
+                  memcmp (reader->text->str, path, reader->target_len) == 0;
   bool ready = host->routes && !host->stopping && !host->cut_off;
   GString *fields = g_string_new (NULL);
-  jd_caller_answer (caller, ready ? 200 : 503, fields, "", 0);
+  jd_caller_answer (caller, !is_known ? 404 : ready ? 200 : 503, fields, "", 0);
   g_string_free (fields, TRUE);
 }
 
@@ -290,7 +293,6 @@
   jd_replica_pool_t *pool = jd_replica_registry_pool (host->registry, limits->name);
   pool->max_connections = limits->max_connections;
   pool->cold_per_s = limits->cold_per_s;
-  pool->cold_start_us = limits->cold_start_us;
   jd_replica_pool_unref (pool);
 }
 
@@ -400,7 +402,6 @@
   host->stop_grace_us = settings->stop_grace_us;
   host->retry_slack = settings->retry_slack;
   host->retry_window_us = settings->retry_window_us;
-  host->cold_overage = settings->cold_overage;
   host->cold_slack = settings->cold_slack;
   learn_seeds (host, settings->seeds);
   return true;
@@ -526,7 +527,6 @@
   host->stop_grace_us = settings->stop_grace_us;
   host->retry_slack = settings->retry_slack;
   host->retry_window_us = settings->retry_window_us;
-  host->cold_overage = settings->cold_overage;
   host->cold_slack = settings->cold_slack;
   host->max_requests = settings->memory_mb * 1024 / 2 / REQUEST_MEMORY_KB;
   host->salt = (uint32_t)jd_entropy ();
--- a/src/daemons/host_defs.h
+++ b/src/daemons/host_defs.h
@@ -37,7 +37,6 @@
   int64_t stop_grace_us;
   uint32_t retry_slack;
   int64_t retry_window_us;
-  double cold_overage;
   uint32_t cold_slack;
   uint32_t max_requests;
 
--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -96,7 +96,6 @@
     tried[i] = part->attempts[i].replica;
   jd_replica_need_t need = {
     .usual_us = usual_us (fanout),
-    .fallback_us = usual_us (fanout),
     .tried = tried,
     .tried_count = part->attempt_count,
     .salt = fanout->salt,
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -102,9 +102,6 @@
       replica->consecutive_failures = 0;
       replica->ejections = 0;
       replica->slowness += SMOOTHING * (relative - replica->slowness);
-      replica->latency_us += replica->latency_us > 0.0
-                                 ? SMOOTHING * ((double)elapsed_us - replica->latency_us)
-                                 : (double)elapsed_us;
       break;
     case JD_REPLICA_ABANDONED:
       if (relative > replica->slowness)
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -55,7 +55,6 @@
 
   double slowness;      /* Smoothed latency relative to that of its peers; 1 is usual. */
   double failure_share; /* Smoothed share of failed attempts. */
-  double latency_us;    /* Smoothed latency of answers. */
   int64_t updated_us;   /* Time of the last change of slowness or failure_share. */
   uint32_t consecutive_failures;
   int64_t ejected_until_us;
@@ -80,8 +79,7 @@
   GPtrArray *replicas;      /* jd_replica_t */
   uint32_t max_connections; /* Of one target, from all hosts. */
   double cold_per_s;        /* Requests a second that a cold target bears; 0: no limit. */
-  int64_t cold_start_us;
-  jd_hedge_budget_t extra; /* Attempts beyond the first of each request. */
+  jd_hedge_budget_t extra;  /* Attempts beyond the first of each request. */
 };
 
 jd_replica_t *jd_replica_ref (jd_replica_t *replica);
--- a/src/routing/replica_choice.c
+++ b/src/routing/replica_choice.c
@@ -44,7 +44,7 @@
 jd_replica_expected_us (const jd_replica_t *replica, const jd_replica_need_t *need,
                         int64_t now_us)
 {
-  int64_t usual_us = need->usual_us > 0 ? need->usual_us : need->fallback_us;
+  int64_t usual_us = need->usual_us;
   double service_us = (double)usual_us * replica->slowness;
   if (replica->cold_until_us > now_us)
     service_us *= COLD_FACTOR;
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -5,8 +5,7 @@
 /* What the choice needs to know of the request. */
 typedef struct jd_replica_need
 {
-  int64_t usual_us;    /* Usual latency of this kind of request; 0 if not known. */
-  int64_t fallback_us; /* Latency to assume while nothing is known. */
+  int64_t usual_us; /* Usual latency of this kind of request, or an assumption. */
   const jd_replica_t *const *tried;
   uint32_t tried_count;
   uint32_t salt; /* Breaks ties differently on each host and request. */
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -36,7 +36,6 @@
   bool open;             /* Needs no key. */
   int64_t timeout_us;    /* Longest time that a caller is kept waiting. */
   int64_t objective_us;  /* Latency within which an answer has its full value. */
-  uint32_t priority;     /* 0 is the most urgent. */
   uint32_t max_attempts; /* Replicas on which one request may run. */
   uint32_t top_k;
   double min_coverage;
@@ -48,8 +47,6 @@
 {
   char *name;
   GPtrArray *keys;
-  uint32_t priority;
-  bool has_priority;
   double rate_per_s; /* 0: no limit. */
   double burst;
 } jd_tenant_t;
@@ -59,7 +56,6 @@
   char *name;
   uint32_t max_connections;
   double cold_per_s;
-  int64_t cold_start_us;
 } jd_service_limits_t;
 
 /* One version of the configuration. Requests hold the version that they started with. */
--- a/test/unit/test_replica_choice.c
+++ b/test/unit/test_replica_choice.c
@@ -56,7 +56,6 @@
 {
   const jd_replica_t *tried_list[] = { tried };
   jd_replica_need_t need = { .usual_us = USUAL,
-                             .fallback_us = USUAL,
                              .tried = tried_list,
                              .tried_count = tried ? 1 : 0 };
   jd_replica_pool_t *pool = jd_replica_registry_pool (registry, "desk");
