--- a/test/support/relay.c
+++ b/test/support/relay.c
@@ -43,7 +43,9 @@
       close (connected);
       return;
     }
-  int place = MAX (relay->silent_count, 0);
+  /* A new connection may not take the place of one that is silent or cut one way. */
+  int place = MAX (relay->silent_count, relay->one_way_count);
+  place = MAX (place, 0);
   while (place < relay->pair_count && relay->ends[place][0] >= 0)
     place++;
   relay->ends[place][0] = accepted;
