--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build asan test demo bench capacity lint format clean
+.PHONY: all deps build asan test soak demo bench capacity lint format clean
 
 all: build
 
@@ -20,6 +20,12 @@
 test: build asan
 	scripts/run_tests $(BUILD) $(BUILD)-asan
 
+# Seeds FIRST to FIRST + SEEDS - 1 of the fault soak.
+SEEDS ?= 50
+FIRST ?= 1
+soak: build
+	scripts/soak $(BUILD) $(SEEDS) $(FIRST)
+
 demo: build
 	scripts/demo $(BUILD)
 
