refactor(host): one plain answer, one place for settings that may change, no unused parts

Read as a newcomer: the answer without a body was written four times, the reloadable settings were copied in two places, two functions returned a value that nobody could use, and three functions had no caller.

--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -19,8 +19,8 @@
 #define RETRY_SLACK_SHARE 0.85
 /* Part of a host's slack that may be used at once. */
 #define RETRY_RESERVE_SHARE 0.4
-/* A host that reaches none of the targets of this share of services sends callers to
- * other hosts, until it reaches them again but for the smaller share. */
+/* A host that reaches too few targets for this share of its recent requests sends callers
+ * to other hosts, until it reaches enough but for the smaller share. */
 #define UNREACHED_TO_LEAVE 0.5
 #define UNREACHED_TO_RETURN 0.2
 /* How long that has to last. */
@@ -49,7 +49,7 @@
   host->hosts = hosts;
   host->rank = rank;
   jd_replica_links_set_hosts (host->links, hosts);
-  jd_replica_registry_set_subset (host->registry, hosts, rank);
+  jd_replica_registry_set_hosts (host->registry, hosts, rank);
 }
 
 /* Gives a service this host's part of the slack for extra requests: some to save, the
@@ -175,19 +175,22 @@
 {
   jd_host_t *host = context;
   static const char path[] = "/records?after=";
-  GString *fields = g_string_new (NULL);
   const char *target = reader->text->str;
   if (reader->target_len < strlen (path) || strncmp (target, path, strlen (path)) != 0)
-    jd_caller_answer (caller, 404, fields, "", 0);
-  else if (jd_record_feed_as_of_us (host->feed) == 0)
-    jd_caller_answer (caller, 503, fields, "", 0);
-  else
     {
-      int64_t after = g_ascii_strtoll (target + strlen (path), NULL, 10);
-      GString *body = jd_record_source_render (host->feed, after, jd_monotonic_us ());
-      jd_caller_answer (caller, 200, fields, body->str, body->len);
-      g_string_free (body, TRUE);
+      jd_caller_answer_status (caller, 404, 0);
+      return;
+    }
+  if (jd_record_feed_as_of_us (host->feed) == 0)
+    {
+      jd_caller_answer_status (caller, 503, 0);
+      return;
     }
+  int64_t after = g_ascii_strtoll (target + strlen (path), NULL, 10);
+  GString *fields = g_string_new (NULL);
+  GString *body = jd_record_source_render (host->feed, after, jd_monotonic_us ());
+  jd_caller_answer (caller, 200, fields, body->str, body->len);
+  g_string_free (body, TRUE);
   g_string_free (fields, TRUE);
 }
 
@@ -201,9 +204,7 @@
   bool is_known = reader->target_len == strlen (path) &&
                   memcmp (reader->text->str, path, reader->target_len) == 0;
   bool ready = host->routes && !host->stopping && !host->cut_off;
-  GString *fields = g_string_new (NULL);
-  jd_caller_answer (caller, !is_known ? 404 : ready ? 200 : 503, fields, "", 0);
-  g_string_free (fields, TRUE);
+  jd_caller_answer_status (caller, !is_known ? 404 : ready ? 200 : 503, 0);
 }
 
 /* Appends the quantiles of a histogram, in seconds. */
@@ -272,13 +273,6 @@
   return host->feed;
 }
 
-/* Returns the configuration in force, or NULL. */
-const jd_route_table_t *
-jd_host_routes (const jd_host_t *host)
-{
-  return host->routes;
-}
-
 /* Takes the end of a read of the store. */
 void
 jd_host_store_read (jd_host_t *host, bool success, int64_t asked_us)
@@ -329,7 +323,7 @@
   jd_caller_server_set_limits (host->callers, &limits);
   jd_route_table_unref (host->routes);
   host->routes = table;
-  jd_replica_registry_set_subset (host->registry, host->hosts, host->rank);
+  jd_replica_registry_set_hosts (host->registry, host->hosts, host->rank);
   jd_log_event (G_LOG_LEVEL_INFO, "configuration_applied",
                 "version=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
                 " routes=%u services=%u tenants=%u",
@@ -387,7 +381,18 @@
     }
 }
 
-/* Takes changed settings, of those that may change while the host runs. */
+/* Takes the settings that may change while the host runs. */
+static void
+take_settings (jd_host_t *host, const jd_host_settings_t *settings)
+{
+  host->stop_grace_us = settings->stop_grace_us;
+  host->retry_slack = settings->retry_slack;
+  host->retry_window_us = settings->retry_window_us;
+  host->cold_slack = settings->cold_slack;
+  learn_seeds (host, settings->seeds);
+}
+
+/* Takes a changed settings file. The name cannot change; addresses need a restart. */
 bool
 jd_host_apply_settings (jd_host_t *host, const jd_host_settings_t *settings,
                         GError **error)
@@ -399,11 +404,7 @@
                    settings->name);
       return false;
     }
-  host->stop_grace_us = settings->stop_grace_us;
-  host->retry_slack = settings->retry_slack;
-  host->retry_window_us = settings->retry_window_us;
-  host->cold_slack = settings->cold_slack;
-  learn_seeds (host, settings->seeds);
+  take_settings (host, settings);
   return true;
 }
 
@@ -492,7 +493,7 @@
   host->feed = jd_record_feed_new (&host->platform.feed);
   host->quota = jd_fleet_quota_new (settings->first_start);
   host->peers = jd_peer_table_new (host->ip, host->zone);
-  learn_seeds (host, settings->seeds);
+  take_settings (host, settings);
   int64_t bound_us = MIN (settings->drain_us, settings->config_us);
   jd_record_source_options_t source = {
     .loop = host->loop,
@@ -522,12 +523,7 @@
   host->name = g_strdup (settings->name);
   host->zone = g_strdup (settings->zone);
   host->ip = ntohl (ip.s_addr);
-  host->peer_port = settings->peer_port;
   host->incarnation = jd_entropy ();
-  host->stop_grace_us = settings->stop_grace_us;
-  host->retry_slack = settings->retry_slack;
-  host->retry_window_us = settings->retry_window_us;
-  host->cold_slack = settings->cold_slack;
   host->max_requests = settings->memory_mb * 1024 / 2 / REQUEST_MEMORY_KB;
   host->salt = (uint32_t)jd_entropy ();
   host->hosts = JD_HOSTS_UNHEARD;
--- a/src/daemons/host_defs.h
+++ b/src/daemons/host_defs.h
@@ -32,7 +32,6 @@
   char *name;
   char *zone;
   uint32_t ip;
-  uint16_t peer_port;
   uint64_t incarnation;
   int64_t stop_grace_us;
   uint32_t retry_slack;
--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -20,8 +20,6 @@
 /* Parts that the log names of one answer. */
 #define MISSING_NOTED_MAX 4
 
-static void on_request_timer (struct ev_loop *loop, ev_timer *timer, int events);
-
 /* Returns the name of an end in log lines and metrics. */
 const char *
 jd_host_end_name (jd_host_end_t end)
@@ -72,13 +70,7 @@
                 host->routes ? host->routes->version : 0,
                 (jd_monotonic_us () - jd_record_feed_as_of_us (host->feed)) /
                     JD_US_PER_MS);
-  GString *fields = g_string_new (NULL);
-  if (retry_after_us > 0)
-    g_string_append_printf (fields, "Retry-After: %.3f\r\n",
-                            (double)MIN (retry_after_us, RETRY_MAX_US) /
-                                (double)JD_US_PER_S);
-  jd_caller_answer (caller, status, fields, "", 0);
-  g_string_free (fields, TRUE);
+  jd_caller_answer_status (caller, status, MIN (retry_after_us, RETRY_MAX_US));
 }
 
 /* Frees a request that has ended. */
@@ -186,18 +178,6 @@
   g_string_free (body, TRUE);
 }
 
-/* Sends an answer of this host's own. */
-static void
-answer_plain (jd_request_t *request, uint32_t status, int64_t retry_after_us)
-{
-  GString *fields = g_string_new (NULL);
-  if (retry_after_us > 0)
-    g_string_append_printf (fields, "Retry-After: %.3f\r\n",
-                            (double)retry_after_us / (double)JD_US_PER_S);
-  jd_caller_answer (request->caller, status, fields, "", 0);
-  g_string_free (fields, TRUE);
-}
-
 /* Sends the answer that a verdict asks for. A failure that a target gave is passed on
  * unless it was a refusal. */
 static void
@@ -230,17 +210,18 @@
       if (verdict == JD_FANOUT_FAILED)
         {
           note_end (request, JD_HOST_END_FAILED, 502);
-          answer_plain (request, 502, 0);
+          jd_caller_answer_status (request->caller, 502, 0);
           return;
         }
       note_end (request, JD_HOST_END_TIMED_OUT, 504);
-      answer_plain (request, 504, 0);
+      jd_caller_answer_status (request->caller, 504, 0);
       return;
     case JD_FANOUT_NOT_RUN:
       note_end (request, JD_HOST_END_NOT_RUN, 503);
-      answer_plain (request, 503,
-                    CLAMP (jd_fanout_servable_in_us (request->fanout, jd_monotonic_us ()),
-                           RETRY_SOON_US, RETRY_TARGET_US));
+      jd_caller_answer_status (
+          request->caller, 503,
+          CLAMP (jd_fanout_servable_in_us (request->fanout, jd_monotonic_us ()),
+                 RETRY_SOON_US, RETRY_TARGET_US));
       return;
     }
 }
--- a/src/routing/replica_choice.c
+++ b/src/routing/replica_choice.c
@@ -88,7 +88,8 @@
          replica->cold_tokens < 1.0;
 }
 
-/* Returns the cheapest untried replica that pass accepts, or NULL. */
+/* Returns the cheapest untried replica among those in use or, with ejected, among those
+ * left out for failed answers as well; NULL when there is none. */
 static jd_replica_t *
 choose_among (const jd_replica_pool_t *pool, const jd_replica_need_t *need, bool ejected,
               int64_t now_us)
--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -204,19 +204,6 @@
   drop (registry, replica);
 }
 
-/* Removes all replicas whose ids are not in the set. */
-void
-jd_replica_registry_retain (jd_replica_registry_t *registry, GHashTable *ids)
-{
-  GList *known = g_hash_table_get_keys (registry->by_id);
-  for (GList *item = known; item; item = item->next)
-    {
-      if (!g_hash_table_contains (ids, item->data))
-        jd_replica_registry_remove (registry, item->data);
-    }
-  g_list_free (known);
-}
-
 /* Stops or allows new requests to the targets of a zone. */
 void
 jd_replica_registry_evacuate (jd_replica_registry_t *registry, const char *zone,
@@ -244,8 +231,8 @@
 /* Sets how many hosts share the connections of each target, and the place of this one
  * among them. */
 void
-jd_replica_registry_set_subset (jd_replica_registry_t *registry, uint32_t hosts,
-                                uint32_t rank)
+jd_replica_registry_set_hosts (jd_replica_registry_t *registry, uint32_t hosts,
+                               uint32_t rank)
 {
   registry->hosts = MAX (hosts, 1);
   registry->rank = rank;
--- a/src/transport/caller_server.c
+++ b/src/transport/caller_server.c
@@ -288,6 +288,18 @@
     settle (caller);
 }
 
+/* Queues an answer without a body. A retry_after_us above 0 tells when to come back. */
+void
+jd_caller_answer_status (jd_caller_t *caller, uint32_t status, int64_t retry_after_us)
+{
+  GString *fields = g_string_new (NULL);
+  if (retry_after_us > 0)
+    g_string_append_printf (fields, "Retry-After: %.3f\r\n",
+                            (double)retry_after_us / (double)JD_US_PER_S);
+  jd_caller_answer (caller, status, fields, "", 0);
+  g_string_free (fields, TRUE);
+}
+
 /* Sends bytes as they are on the connection of a running request; for stand-ins. */
 void
 jd_caller_send_raw (jd_caller_t *caller, const char *data, size_t size)
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -42,6 +42,8 @@
 void *jd_caller_data (const jd_caller_t *caller);
 void jd_caller_answer (jd_caller_t *caller, uint32_t status, const GString *fields,
                        const char *body, size_t body_bytes);
+void jd_caller_answer_status (jd_caller_t *caller, uint32_t status,
+                              int64_t retry_after_us);
 void jd_caller_send_raw (jd_caller_t *caller, const char *data, size_t size);
 void jd_caller_abort (jd_caller_t *caller);
 const char *jd_http_reason (uint32_t status);
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -83,7 +83,6 @@
   GList node;                  /* In link->waiting. */
   jd_outgoing_t *outgoing;
   jd_exchange_owner_t owner; /* on_done is NULL once cancelled. */
-  int64_t queued_us;
   int64_t sent_us;
   int64_t usual_us;
   int64_t linger_until_us; /* 0 while it is wanted. */
@@ -272,8 +271,8 @@
   free_link_if_done (link);
 }
 
-/* Sends pending output; FALSE when the connection failed and is gone. */
-static bool
+/* Sends pending output. A failed connection shows with the next read. */
+static void
 flush_connection (jd_connection_t *connection)
 {
   while (connection->output_sent < connection->output->len)
@@ -286,19 +285,18 @@
       if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
         {
           watch (connection, EV_READ | EV_WRITE);
-          return true;
+          return;
         }
       if (sent < 0)
         {
           /* The target may have answered, or rejected, before it closed. */
           watch (connection, EV_READ);
           connection->close_after = true;
-          return true;
+          return;
         }
       connection->output_sent += (size_t)sent;
     }
   watch (connection, EV_READ);
-  return true;
 }
 
 /* Starts an exchange on an idle connection. */
@@ -514,8 +512,8 @@
   free_link_if_done (link);
 }
 
-/* Handles bytes from a target; FALSE when the connection may be gone. */
-static bool
+/* Handles bytes from a target. The connection may be gone afterwards. */
+static void
 take_bytes (jd_connection_t *connection, const char *data, size_t size)
 {
   if (connection->state != CONNECTION_BUSY)
@@ -523,7 +521,7 @@
       jd_log_event (G_LOG_LEVEL_INFO, "reply_unasked", "target=%s bytes=%zu",
                     connection->link->replica->id, size);
       fail_connection (connection, JD_REPLICA_BROKEN);
-      return false;
+      return;
     }
   while (size > 0)
     {
@@ -531,11 +529,11 @@
       jd_http_progress_t progress =
           jd_http_reader_feed (&connection->reader, data, size, &used);
       if (progress == JD_HTTP_MORE)
-        return true;
+        return;
       if (progress != JD_HTTP_COMPLETE)
         {
           fail_connection (connection, JD_REPLICA_BROKEN);
-          return false;
+          return;
         }
       data += used;
       size -= used;
@@ -543,7 +541,7 @@
       if (!is_interim && !is_stray (connection))
         {
           complete_exchange (connection, size > 0);
-          return false;
+          return;
         }
       if (!is_interim)
         {
@@ -555,12 +553,11 @@
       if (++connection->strays > STRAY_REPLIES_MAX || !connection->reader.keep_alive)
         {
           fail_connection (connection, JD_REPLICA_BROKEN);
-          return false;
+          return;
         }
       jd_http_reader_restart (&connection->reader);
       connection->reader.head_response = connection->exchange->outgoing->is_head_method;
     }
-  return true;
 }
 
 /* Handles a connection that the target closed in order. */
@@ -619,8 +616,8 @@
       take_opened (connection);
       return;
     }
-  if ((events & EV_WRITE) && !flush_connection (connection))
-    return;
+  if (events & EV_WRITE)
+    flush_connection (connection);
   if (!(events & EV_READ))
     return;
   char data[READ_BYTES];
@@ -655,10 +652,10 @@
   outgoing->references++;
   exchange->owner = *owner;
   exchange->usual_us = usual_us;
-  exchange->queued_us = jd_monotonic_us ();
-  if (replica->cold_until_us > exchange->queued_us)
+  int64_t now_us = jd_monotonic_us ();
+  if (replica->cold_until_us > now_us)
     replica->cold_tokens -= 1.0;
-  jd_connection_t *idle = find_idle (link, exchange->queued_us);
+  jd_connection_t *idle = find_idle (link, now_us);
   if (idle && link->waiting.length == 0)
     {
       start_exchange (idle, exchange);
