fix(membership): tell all hosts which targets came back after a store outage

Cause: after an outage the host that reads the store held removals back by itself. A target that wrote itself again had the same value as before, so its record counted as unchanged and was not told to the others. The other way round, a removal that was held until followers had passed its revision was never told to them. Conclusion: removals reach all hosts at once and only their effect waits; a host whose own reads failed says in its copies for how long. The store is read each 0.5 s while it recovers.

--- a/src/config/host_settings.c
+++ b/src/config/host_settings.c
@@ -123,6 +123,9 @@
   settings->config_us =
       (int64_t)(read_number (reader, "limits", "config-ms", 3000.0, 100.0, 600000.0) *
                 (double)JD_US_PER_MS);
+  settings->heartbeat_us =
+      (int64_t)(read_number (reader, "limits", "heartbeat-ms", 1200.0, 10.0, 600000.0) *
+                (double)JD_US_PER_MS);
   settings->retry_slack =
       (uint32_t)read_number (reader, "limits", "retry-slack", 0.0, 0.0, 1e6);
   settings->retry_window_us =
--- a/src/config/host_settings.h
+++ b/src/config/host_settings.h
@@ -18,6 +18,7 @@
   char *store_address;
   int64_t stop_grace_us;   /* Between SIGTERM and SIGKILL. */
   int64_t drain_us;        /* In which a leaving target must get nothing new. */
+  int64_t heartbeat_us;    /* Between two writes of a target to the store. */
   int64_t config_us;       /* In which a new configuration must be in force. */
   uint32_t retry_slack;    /* Extra requests of all hosts that a service bears. */
   int64_t retry_window_us; /* In which extra requests are counted. */
--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -117,6 +117,7 @@
   jd_replica_registry_each_pool (host->registry, refill_pool, host);
   jd_replica_registry_each (host->registry, refill_replica, host);
   update_reach (host, now_us);
+  jd_record_feed_release_removals (host->feed, now_us);
 }
 
 /* Registry event: a target may get requests. */
@@ -502,6 +503,7 @@
     .peer_port = settings->peer_port,
     .interval_us =
         CLAMP (bound_us / READS_PER_BOUND, READ_INTERVAL_MIN_US, READ_INTERVAL_MAX_US),
+    .heartbeat_us = settings->heartbeat_us,
     .read_store = host->platform.read_store,
     .store_context = host->platform.store_context,
     .on_changed = on_records_changed,
--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -10,7 +10,7 @@
 #include "transport/http_call.h"
 #include "transport/wire_reader.h"
 
-#define FORMAT_VERSION 1
+#define FORMAT_VERSION 2
 /* A whole copy is about 20 kB packed; many hosts may ask for one at the same time over a
  * link of 20 Mbit/s. */
 #define COPY_TIMEOUT_US (1500 * JD_US_PER_MS)
@@ -21,10 +21,14 @@
 #define READING_INTERVALS 3
 /* After a failed read the store is asked again no sooner than this. */
 #define STORE_RETRY_US (700 * JD_US_PER_MS)
-/* Records that lapsed during an outage are back within about 2 s of its end. */
-#define RETURN_US (2600 * JD_US_PER_MS)
-/* A gap between two good reads that is longer than this is an outage. */
-#define OUTAGE_INTERVALS 2.5
+/* Targets whose records lapsed during an outage write them again within about 2 s of its
+ * end; the rest is for the next read of the store and the way to the other hosts. */
+#define RETURN_US (2900 * JD_US_PER_MS)
+/* Time between reads during an outage and while records may come back after it. */
+#define RECOVERY_INTERVAL_US (500 * JD_US_PER_MS)
+/* A record lapses after three heartbeats without one, the first of which may have been
+ * due when the outage began. */
+#define OUTAGE_HEARTBEATS 2
 /* How long a starting host listens for others before it asks the store itself. */
 #define FIRST_READ_DELAY_S 0.05
 
@@ -169,8 +173,12 @@
     jd_wire_reader_fail (&reader, "other format version");
   int64_t revision = jd_wire_read_signed (&reader);
   int64_t age_us = jd_wire_read_signed (&reader);
+  int64_t hold_us = jd_wire_read_signed (&reader);
   bool is_full = jd_wire_read_boolean (&reader);
   uint32_t count = jd_wire_read_array (&reader, RECORDS_MAX);
+  if (!reader.failure && hold_us > 0)
+    jd_record_feed_hold_removals (source->options.feed,
+                                  jd_monotonic_us () + MIN (hold_us, RETURN_US));
   GHashTable *keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (uint32_t i = 0; i < count && !reader.failure; i++)
     take_record (source, &reader, keys);
@@ -246,10 +254,9 @@
 {
   if (source->reading || now_us < source->retry_us)
     return;
-  int64_t gap_us = now_us - source->last_success_us;
-  bool was_out =
-      jd_record_feed_as_of_us (source->options.feed) > 0 && source->store_failed &&
-      gap_us > (int64_t)(OUTAGE_INTERVALS * (double)source->options.interval_us);
+  int64_t as_of_us = jd_record_feed_as_of_us (source->options.feed);
+  bool was_out = as_of_us > 0 && source->store_failed &&
+                 now_us - as_of_us > OUTAGE_HEARTBEATS * source->options.heartbeat_us;
   if (was_out)
     jd_record_feed_hold_removals (source->options.feed, now_us + RETURN_US);
   source->reading = true;
@@ -262,9 +269,6 @@
 {
   jd_record_source_t *source = timer->data;
   int64_t now_us = jd_monotonic_us ();
-  int64_t before = jd_record_feed_changed_revision (source->options.feed);
-  jd_record_feed_release_removals (source->options.feed, now_us);
-  tell_changes (source, before);
   const jd_peer_t *peer = jd_peer_table_best_source (
       source->options.peers, jd_record_feed_revision (source->options.feed), now_us);
   bool reads_now = jd_record_source_reads_store (source, now_us);
@@ -275,6 +279,13 @@
     read_store (source, now_us);
   if (peer && (!should_read || source->store_failed))
     follow (source, peer);
+  bool recovers = source->store_failed ||
+                  jd_record_feed_held_until_us (source->options.feed) > now_us;
+  timer->repeat =
+      (double)(recovers ? MIN (RECOVERY_INTERVAL_US, source->options.interval_us)
+                        : source->options.interval_us) /
+      (double)JD_US_PER_S;
+  ev_timer_again (loop, timer);
 }
 
 /* Looks at once whether a host that was just heard knows more. */
@@ -368,6 +379,7 @@
   msgpack_pack_uint8 (&packer, FORMAT_VERSION);
   msgpack_pack_int64 (&packer, jd_record_feed_revision (feed));
   msgpack_pack_int64 (&packer, now_us - jd_record_feed_as_of_us (feed));
+  msgpack_pack_int64 (&packer, MAX (jd_record_feed_held_until_us (feed) - now_us, 0));
   if (is_full)
     msgpack_pack_true (&packer);
   else
--- a/src/daemons/record_source.h
+++ b/src/daemons/record_source.h
@@ -15,7 +15,8 @@
   jd_record_feed_t *feed;
   jd_peer_table_t *peers;
   uint16_t peer_port;
-  int64_t interval_us; /* Between two reads. */
+  int64_t interval_us;  /* Between two reads. */
+  int64_t heartbeat_us; /* Between two writes of a target. */
   void (*read_store) (void *context);
   void *store_context;
   /* Records have changed; other hosts should hear of it. */
--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -12,8 +12,8 @@
   int64_t as_of_us; /* When the records were current; 0 while nothing is known. */
   uint32_t traces;
   int64_t changed_revision; /* Of the last change that matters. */
-  int64_t hold_until_us;    /* Removals wait until then; 0 if they do not. */
-  GHashTable *held;         /* key -> revision of its removal */
+  int64_t hold_until_us;    /* Removals take effect then; 0 if they do at once. */
+  GHashTable *held;         /* key -> value of a removed record */
   int64_t traces_since;     /* Removals after this revision have traces. */
 };
 
@@ -28,6 +28,14 @@
   g_free (item);
 }
 
+/* Creates the table of removed records that are still in effect. */
+static GHashTable *
+new_held (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                (GDestroyNotify)g_bytes_unref);
+}
+
 /* Creates an empty feed. */
 jd_record_feed_t *
 jd_record_feed_new (const jd_feed_events_t *events)
@@ -35,7 +43,7 @@
   jd_record_feed_t *feed = g_new0 (jd_record_feed_t, 1);
   feed->events = *events;
   feed->by_key = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_item);
-  feed->held = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  feed->held = new_held ();
   return feed;
 }
 
@@ -63,7 +71,8 @@
 }
 
 /* Takes a record as it was at a revision. Returns TRUE when hosts have to know. Older
- * revisions than the known one are ignored. */
+ * revisions than the known one are ignored. A record that comes back after its removal
+ * is news to other hosts even if this one still holds it. */
 bool
 jd_record_feed_put (jd_record_feed_t *feed, const char *key, GBytes *value,
                     int64_t revision)
@@ -71,11 +80,13 @@
   jd_feed_item_t *item = find_item (feed, key);
   if (revision <= item->revision)
     return false;
-  g_hash_table_remove (feed->held, key);
-  bool is_new = !item->value;
-  if (!is_new && feed->events.is_same (feed->events.context, key, item->value, value))
+  GBytes *held = g_hash_table_lookup (feed->held, key);
+  GBytes *before = held ? held : item->value;
+  bool is_same =
+      before && feed->events.is_same (feed->events.context, key, before, value);
+  if (is_same && !held)
     return false;
-  if (is_new && item->revision >= 0)
+  if (!item->value && item->revision >= 0)
     feed->traces--;
   g_bytes_ref (value);
   if (item->value)
@@ -83,7 +94,9 @@
   item->value = value;
   item->revision = revision;
   feed->changed_revision = MAX (feed->changed_revision, revision);
-  feed->events.on_change (feed->events.context, key, value);
+  g_hash_table_remove (feed->held, key);
+  if (!is_same)
+    feed->events.on_change (feed->events.context, key, value);
   return true;
 }
 
@@ -105,42 +118,47 @@
   feed->traces_since = feed->revision;
 }
 
-/* Removes a record. */
-static void
-remove_now (jd_record_feed_t *feed, const char *key, int64_t revision)
+/* Takes the removal of a record at a revision. Other hosts hear of it at once; while
+ * removals are held, it takes effect on this host later. */
+void
+jd_record_feed_remove (jd_record_feed_t *feed, const char *key, int64_t revision)
 {
   jd_feed_item_t *item = g_hash_table_lookup (feed->by_key, key);
   if (!item || !item->value || revision <= item->revision)
     return;
-  g_bytes_unref (item->value);
+  GBytes *value = item->value;
   item->value = NULL;
   item->revision = revision;
   feed->changed_revision = MAX (feed->changed_revision, revision);
   feed->traces++;
-  feed->events.on_change (feed->events.context, item->key, NULL);
-  trim_traces (feed);
-}
-
-/* Takes the removal of a record at a revision; it waits while removals are held. */
-void
-jd_record_feed_remove (jd_record_feed_t *feed, const char *key, int64_t revision)
-{
   if (feed->hold_until_us > 0)
-    g_hash_table_insert (feed->held, g_strdup (key),
-                         g_memdup2 (&revision, sizeof (revision)));
+    {
+      g_hash_table_insert (feed->held, g_strdup (key), value);
+    }
   else
-    remove_now (feed, key, revision);
+    {
+      feed->events.on_change (feed->events.context, item->key, NULL);
+      g_bytes_unref (value);
+    }
+  trim_traces (feed);
 }
 
-/* Keeps removed records for a while: after an outage of their store, records whose
- * writers could not refresh them come back. */
+/* Keeps removed records in effect for a while: after an outage of their store, records
+ * whose writers could not refresh them come back. */
 void
 jd_record_feed_hold_removals (jd_record_feed_t *feed, int64_t until_us)
 {
   feed->hold_until_us = MAX (feed->hold_until_us, until_us);
 }
 
-/* Removes the records that were held and have not come back in time. */
+/* Returns until when removals are held; 0 when they take effect at once. */
+int64_t
+jd_record_feed_held_until_us (const jd_record_feed_t *feed)
+{
+  return feed->hold_until_us;
+}
+
+/* Lets the removals that were held take effect, unless the records have come back. */
 void
 jd_record_feed_release_removals (jd_record_feed_t *feed, int64_t now_us)
 {
@@ -148,12 +166,12 @@
     return;
   feed->hold_until_us = 0;
   GHashTable *held = feed->held;
-  feed->held = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  feed->held = new_held ();
   GHashTableIter iter;
-  gpointer key, value;
+  gpointer key;
   g_hash_table_iter_init (&iter, held);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    remove_now (feed, key, *(int64_t *)value);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    feed->events.on_change (feed->events.context, key, NULL);
   g_hash_table_destroy (held);
 }
 
