fix(limits): tell of admissions at once, and account for them when they happened

Cause: with 86 hosts a host heard of the others' admissions 0.5 to 0.9 s late, and took them out of a bucket that it filled only afterwards, up to its bound; so what others had admitted while a tenant was below its rate came back as tokens. Conclusion: short messages tell of admissions after 25 ms; the regular ones no longer come at twice the rate. Silence is that of a host, not of a tenant's reports. A 429 logs what decided it (rate_exceeded). test_fleet_quota's model has the new messages, plays the restart without a pause and adds cuts.

--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -73,6 +73,21 @@
   jd_caller_answer_status (caller, status, MIN (retry_after_us, RETRY_MAX_US));
 }
 
+/* Rejects a request of a tenant that asks for more than its rate. */
+static void
+reject_beyond_rate (jd_host_t *host, jd_caller_t *caller, const jd_http_reader_t *reader,
+                    const char *tenant, int64_t retry_after_us, int64_t now_us)
+{
+  const char *id = jd_http_reader_value (reader, host->platform.fields.request_id);
+  jd_quota_view_t view = jd_fleet_quota_view (host->quota, tenant, now_us);
+  jd_log_event (G_LOG_LEVEL_INFO, "rate_exceeded",
+                "id=%s tenant=%s rate_per_s=%.1f level=%.2f local_level=%.2f "
+                "demand_per_s=%.2f others_per_s=%.2f hosts=%u",
+                id ? id : "-", tenant, view.rate_per_s, view.level, view.local_level,
+                view.demand_per_s, view.others_per_s, host->hosts);
+  reject (host, caller, reader, 429, JD_HOST_END_RATE_LIMITED, tenant, retry_after_us);
+}
+
 /* Frees a request that has ended. */
 static void
 request_free (jd_request_t *request)
@@ -490,10 +505,11 @@
   if (tenant && !jd_fleet_quota_admit (host->quota, tenant->name, host->hosts, now_us,
                                        &retry_after_us))
     {
-      reject (host, caller, reader, 429, JD_HOST_END_RATE_LIMITED, tenant->name,
-              retry_after_us);
+      reject_beyond_rate (host, caller, reader, tenant->name, retry_after_us, now_us);
       return;
     }
+  if (tenant)
+    jd_peer_gossip_note_admission (host->gossip);
   int64_t wait_ms = 0;
   int64_t wait_us = DEFAULT_DEADLINE_US;
   if (jd_http_reader_number (reader, fields->deadline_ms, &wait_ms))
--- a/src/limits/fleet_quota.h
+++ b/src/limits/fleet_quota.h
@@ -17,17 +17,31 @@
   double admitted_per_s; /* Of the last second or so. */
 } jd_quota_report_t;
 
+/* What decided about the last request of a tenant. */
+typedef struct jd_quota_view
+{
+  double rate_per_s;
+  double level;       /* Tokens of all hosts together. */
+  double local_level; /* Tokens of this host's share. */
+  double demand_per_s;
+  double others_per_s; /* Demand at all other hosts. */
+} jd_quota_view_t;
+
 jd_fleet_quota_t *jd_fleet_quota_new (bool first_start);
 void jd_fleet_quota_free (jd_fleet_quota_t *quota);
 void jd_fleet_quota_set (jd_fleet_quota_t *quota, const char *tenant, double rate_per_s,
                          double burst, int64_t now_us);
 bool jd_fleet_quota_admit (jd_fleet_quota_t *quota, const char *tenant, uint32_t hosts,
                            int64_t now_us, int64_t *retry_after_us);
+jd_quota_view_t jd_fleet_quota_view (jd_fleet_quota_t *quota, const char *tenant,
+                                     int64_t now_us);
 void jd_fleet_quota_take_report (jd_fleet_quota_t *quota, uint64_t host,
                                  uint64_t incarnation, const jd_quota_report_t *report,
                                  int64_t now_us);
 void jd_fleet_quota_note_host (jd_fleet_quota_t *quota, uint64_t host,
-                               uint64_t incarnation);
+                               uint64_t incarnation, int64_t now_us);
+bool jd_fleet_quota_knows_host (const jd_fleet_quota_t *quota, uint64_t host,
+                                uint64_t incarnation);
 bool jd_fleet_quota_has_news (jd_fleet_quota_t *quota);
 uint32_t jd_fleet_quota_reports (jd_fleet_quota_t *quota, jd_quota_report_t *reports,
                                  uint32_t max, int64_t now_us);
--- a/src/transport/peer_gossip.c
+++ b/src/transport/peer_gossip.c
@@ -13,7 +13,9 @@
 
 /* One datagram stays under the usual packet size. */
 #define DATAGRAM_BYTES 1400
-#define FORMAT_VERSION 1
+/* First field of a message: its kind and format. */
+#define MESSAGE_STATE 2
+#define MESSAGE_ADMISSIONS 3
 #define HOSTS_MAX 1024
 /* Addresses of other hosts in one message; each such message names another part of them.
  * A host names them while it is new, and in one of KNOWN_EVERY messages later, because
@@ -25,9 +27,9 @@
 /* A fleet this large gets messages at the configured interval. In a larger one the
  * interval grows with it, so that a host receives no more than this many per interval. */
 #define FULL_RATE_HOSTS 24
-/* A host that has admitted requests since its last message sends twice as often, because
- * the others have to know before a tenant exceeds its rate. */
-#define NEWS_FACTOR 0.5
+/* A host tells of admitted requests in short messages of their own, so that the others
+ * know before a tenant exceeds its rate. Those of this time share one. */
+#define ADMISSIONS_DELAY_S 0.025
 /* A host that has just started tells and hears at the full rate, so that limits which
  * hosts share are soon right. */
 #define FULL_RATE_US (3 * JD_US_PER_S)
@@ -40,6 +42,7 @@
   int fd;
   ev_io io;
   ev_timer timer;
+  ev_timer admissions_timer;
   uint64_t sequence;
   uint32_t known_offset;
   int64_t started_us;
@@ -95,6 +98,26 @@
     }
 }
 
+/* Sends a message to some hosts. */
+static void
+send_to (const jd_peer_gossip_t *gossip, const msgpack_sbuffer *message,
+         const uint32_t *ips, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      struct sockaddr_in to = {
+        .sin_family = AF_INET,
+        .sin_port = htons (gossip->options.port),
+        .sin_addr = { .s_addr = htonl (ips[i]) },
+      };
+      if (sendto (gossip->fd, message->data, message->size, 0, (struct sockaddr *)&to,
+                  sizeof (to)) < 0 &&
+          errno != EAGAIN)
+        jd_log_event (G_LOG_LEVEL_DEBUG, "gossip_send_failed", "error=%s",
+                      g_strerror (errno));
+    }
+}
+
 /* Sends this host's message to all hosts that are due. */
 void
 jd_peer_gossip_send_now (jd_peer_gossip_t *gossip)
@@ -108,29 +131,52 @@
   msgpack_packer packer;
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_uint8 (&packer, FORMAT_VERSION);
+  msgpack_pack_uint8 (&packer, MESSAGE_STATE);
   pack_state (&packer, &state);
   pack_known (gossip, &packer, now_us);
   pack_reports (gossip, &packer, now_us);
   uint32_t ips[HOSTS_MAX];
   uint32_t count = jd_peer_table_due (gossip->options.peers, ips, HOSTS_MAX, now_us);
   uint32_t copies = state.leaving ? URGENT_COPIES : 1;
-  for (uint32_t i = 0; i < count * copies; i++)
-    {
-      struct sockaddr_in to = {
-        .sin_family = AF_INET,
-        .sin_port = htons (gossip->options.port),
-        .sin_addr = { .s_addr = htonl (ips[i % count]) },
-      };
-      if (sendto (gossip->fd, buffer.data, buffer.size, 0, (struct sockaddr *)&to,
-                  sizeof (to)) < 0 &&
-          errno != EAGAIN)
-        jd_log_event (G_LOG_LEVEL_DEBUG, "gossip_send_failed", "error=%s",
-                      g_strerror (errno));
-    }
+  for (uint32_t i = 0; i < copies; i++)
+    send_to (gossip, &buffer, ips, count);
   msgpack_sbuffer_destroy (&buffer);
 }
 
+/* Timer callback: tells the others what this host has admitted of late. */
+static void
+on_admissions_due (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  jd_peer_gossip_t *gossip = timer->data;
+  if (!jd_fleet_quota_has_news (gossip->options.quota))
+    return;
+  int64_t now_us = jd_monotonic_us ();
+  jd_peer_state_t state = { 0 };
+  gossip->options.fill_state (gossip->options.context, &state);
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_uint8 (&packer, MESSAGE_ADMISSIONS);
+  msgpack_pack_uint32 (&packer, state.ip);
+  msgpack_pack_uint64 (&packer, state.incarnation);
+  pack_reports (gossip, &packer, now_us);
+  uint32_t ips[HOSTS_MAX];
+  uint32_t count = jd_peer_table_live (gossip->options.peers, ips, HOSTS_MAX, now_us);
+  send_to (gossip, &buffer, ips, count);
+  msgpack_sbuffer_destroy (&buffer);
+}
+
+/* Says that a request of a tenant was admitted, so that the others soon hear of it. */
+void
+jd_peer_gossip_note_admission (jd_peer_gossip_t *gossip)
+{
+  if (ev_is_active (&gossip->admissions_timer))
+    return;
+  ev_timer_set (&gossip->admissions_timer, ADMISSIONS_DELAY_S, 0.0);
+  ev_timer_start (gossip->options.loop, &gossip->admissions_timer);
+}
+
 /* Reads the state of another host. */
 static void
 read_state (jd_wire_reader_t *reader, jd_peer_state_t *state)
@@ -148,51 +194,92 @@
   state->feed_age_us = jd_wire_read_signed (reader);
 }
 
-/* Takes one datagram; nothing of a damaged one is used. */
+/* Reads the use of tenants; returns the number of reports. */
+static uint32_t
+read_reports (jd_wire_reader_t *reader, jd_quota_report_t *reports)
+{
+  uint32_t count = jd_wire_read_array (reader, REPORTS_MAX);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      reports[i].tenant_hash = jd_wire_read_unsigned (reader, UINT64_MAX);
+      reports[i].admitted = jd_wire_read_unsigned (reader, UINT64_MAX);
+      reports[i].demand_per_s =
+          (double)jd_wire_read_unsigned (reader, UINT32_MAX) / 100.0;
+      reports[i].admitted_per_s =
+          (double)jd_wire_read_unsigned (reader, UINT32_MAX) / 100.0;
+    }
+  return count;
+}
+
+/* Takes the reports of a process of a host. */
 static void
-take_datagram (jd_peer_gossip_t *gossip, const char *bytes, size_t size)
+take_reports (jd_peer_gossip_t *gossip, uint64_t ip, uint64_t incarnation,
+              const jd_quota_report_t *reports, uint32_t count, int64_t now_us)
+{
+  for (uint32_t i = 0; i < count; i++)
+    jd_fleet_quota_take_report (gossip->options.quota, ip, incarnation, &reports[i],
+                                now_us);
+}
+
+/* Takes a state message; nothing of a damaged one is used. */
+static void
+take_state (jd_peer_gossip_t *gossip, jd_wire_reader_t *reader)
 {
-  jd_wire_reader_t reader;
   jd_peer_state_t state = { 0 };
   uint32_t known[KNOWN_MAX] = { 0 };
   jd_quota_report_t reports[REPORTS_MAX] = { { 0 } };
-  jd_wire_reader_init (&reader, bytes, size);
-  if (jd_wire_read_unsigned (&reader, UINT8_MAX) != FORMAT_VERSION)
-    jd_wire_reader_fail (&reader, "other format version");
-  read_state (&reader, &state);
-  uint32_t known_count = jd_wire_read_array (&reader, KNOWN_MAX);
+  read_state (reader, &state);
+  uint32_t known_count = jd_wire_read_array (reader, KNOWN_MAX);
   for (uint32_t i = 0; i < known_count; i++)
-    known[i] = (uint32_t)jd_wire_read_unsigned (&reader, UINT32_MAX);
-  uint32_t report_count = jd_wire_read_array (&reader, REPORTS_MAX);
-  for (uint32_t i = 0; i < report_count; i++)
-    {
-      reports[i].tenant_hash = jd_wire_read_unsigned (&reader, UINT64_MAX);
-      reports[i].admitted = jd_wire_read_unsigned (&reader, UINT64_MAX);
-      reports[i].demand_per_s =
-          (double)jd_wire_read_unsigned (&reader, UINT32_MAX) / 100.0;
-      reports[i].admitted_per_s =
-          (double)jd_wire_read_unsigned (&reader, UINT32_MAX) / 100.0;
-    }
-  const char *failure = reader.failure;
-  jd_wire_reader_clear (&reader);
-  if (failure)
-    {
-      jd_log_event (G_LOG_LEVEL_WARNING, "gossip_unreadable", "cause=\"%s\" bytes=%zu",
-                    failure, size);
-      return;
-    }
+    known[i] = (uint32_t)jd_wire_read_unsigned (reader, UINT32_MAX);
+  uint32_t report_count = read_reports (reader, reports);
   int64_t now_us = jd_monotonic_us ();
-  if (!jd_peer_table_hear (gossip->options.peers, &state, now_us))
+  if (reader->failure || !jd_peer_table_hear (gossip->options.peers, &state, now_us))
     return;
   for (uint32_t i = 0; i < known_count; i++)
     jd_peer_table_learn (gossip->options.peers, known[i]);
-  for (uint32_t i = 0; i < report_count; i++)
-    jd_fleet_quota_take_report (gossip->options.quota, state.ip, state.incarnation,
-                                &reports[i], now_us);
-  jd_fleet_quota_note_host (gossip->options.quota, state.ip, state.incarnation);
+  take_reports (gossip, state.ip, state.incarnation, reports, report_count, now_us);
+  jd_fleet_quota_note_host (gossip->options.quota, state.ip, state.incarnation, now_us);
   gossip->options.on_heard (gossip->options.context);
 }
 
+/* Takes a message about admissions. Those of a process that has sent no state message yet
+ * are left for that, because a late message of an earlier process looks the same. */
+static void
+take_admissions (jd_peer_gossip_t *gossip, jd_wire_reader_t *reader)
+{
+  jd_quota_report_t reports[REPORTS_MAX] = { { 0 } };
+  uint64_t ip = jd_wire_read_unsigned (reader, UINT32_MAX);
+  uint64_t incarnation = jd_wire_read_unsigned (reader, UINT64_MAX);
+  uint32_t count = read_reports (reader, reports);
+  if (!reader->failure &&
+      jd_fleet_quota_knows_host (gossip->options.quota, ip, incarnation))
+    take_reports (gossip, ip, incarnation, reports, count, jd_monotonic_us ());
+}
+
+/* Takes one datagram. */
+static void
+take_datagram (jd_peer_gossip_t *gossip, const char *bytes, size_t size)
+{
+  jd_wire_reader_t reader;
+  jd_wire_reader_init (&reader, bytes, size);
+  switch (jd_wire_read_unsigned (&reader, UINT8_MAX))
+    {
+    case MESSAGE_STATE:
+      take_state (gossip, &reader);
+      break;
+    case MESSAGE_ADMISSIONS:
+      take_admissions (gossip, &reader);
+      break;
+    default:
+      jd_wire_reader_fail (&reader, "other kind or format version");
+    }
+  if (reader.failure)
+    jd_log_event (G_LOG_LEVEL_WARNING, "gossip_unreadable", "cause=\"%s\" bytes=%zu",
+                  reader.failure, size);
+  jd_wire_reader_clear (&reader);
+}
+
 /* Event loop callback of the socket. */
 static void
 on_datagram (struct ev_loop *loop, ev_io *io, int events)
@@ -219,10 +306,9 @@
   bool is_new = now_us - gossip->started_us < FULL_RATE_US;
   double factor = is_new ? 1.0 : MAX ((double)hosts / FULL_RATE_HOSTS, 1.0);
   int64_t usual_us = (int64_t)(gossip->options.interval_s * factor * (double)JD_US_PER_S);
-  bool is_due = now_us - gossip->sent_us >= usual_us - usual_us / 8;
-  if (is_due || jd_fleet_quota_has_news (gossip->options.quota))
+  if (now_us - gossip->sent_us >= usual_us - usual_us / 8)
     jd_peer_gossip_send_now (gossip);
-  timer->repeat = gossip->options.interval_s * MAX (factor * NEWS_FACTOR, 1.0);
+  timer->repeat = gossip->options.interval_s * factor;
   ev_timer_again (loop, timer);
 }
 
@@ -243,6 +329,8 @@
   ev_timer_init (&gossip->timer, on_interval, 0.0, options->interval_s);
   gossip->timer.data = gossip;
   ev_timer_start (options->loop, &gossip->timer);
+  ev_init (&gossip->admissions_timer, on_admissions_due);
+  gossip->admissions_timer.data = gossip;
   return gossip;
 }
 
@@ -252,6 +340,7 @@
 {
   ev_io_stop (gossip->options.loop, &gossip->io);
   ev_timer_stop (gossip->options.loop, &gossip->timer);
+  ev_timer_stop (gossip->options.loop, &gossip->admissions_timer);
   close (gossip->fd);
   g_free (gossip);
 }
--- a/test/unit/test_fleet_quota.c
+++ b/test/unit/test_fleet_quota.c
@@ -9,6 +9,8 @@
 #define HOSTS_MAX 90
 #define STEP_US (10 * JD_US_PER_MS)
 #define WINDOW_US (5 * JD_US_PER_S)
+/* Hosts tell of admissions after 25 ms; the others have taken them this long after. */
+#define NEWS_STEPS 5
 
 /* A fleet whose hosts tell each other their reports after a delay. */
 typedef struct jd_quota_fleet
@@ -19,6 +21,7 @@
   double rate_per_s;
   double burst;
   uint32_t report_steps; /* Steps between reports. */
+  uint32_t cut_hosts;    /* The first of the hosts, which do not hear the others. */
   uint32_t admitted[4096];
   uint32_t asked;
   uint32_t passed;
@@ -38,18 +41,26 @@
     }
 }
 
+/* Lets hosts tell each other; all of them, or just those with news. */
 static void
-tell_all (jd_quota_fleet_t *fleet, int64_t now_us)
+tell (jd_quota_fleet_t *fleet, bool all, int64_t now_us)
 {
   for (uint32_t from = 0; from < fleet->count; from++)
     {
+      if (!all && !jd_fleet_quota_has_news (fleet->hosts[from]))
+        continue;
       jd_quota_report_t reports[2];
       uint32_t count = jd_fleet_quota_reports (fleet->hosts[from], reports, 2, now_us);
       for (uint32_t to = 0; to < fleet->count; to++)
         {
+          if ((from < fleet->cut_hosts) != (to < fleet->cut_hosts))
+            continue;
           for (uint32_t i = 0; i < count && to != from; i++)
             jd_fleet_quota_take_report (fleet->hosts[to], from + 1, fleet->incarnation,
                                         &reports[i], now_us);
+          if (all && to != from)
+            jd_fleet_quota_note_host (fleet->hosts[to], from + 1, fleet->incarnation,
+                                      now_us);
         }
     }
 }
@@ -76,8 +87,9 @@
           fleet->asked++;
           fleet->passed += passes;
         }
-      if (step % fleet->report_steps == 0)
-        tell_all (fleet, now_us);
+      bool all = step % fleet->report_steps == 0;
+      if (all || step % NEWS_STEPS == 0)
+        tell (fleet, all, now_us);
     }
 }
 
@@ -138,7 +150,7 @@
           play (&fleet, &rng, 0, 300, usual);
           play (&fleet, &rng, 300, 1200, usual * (seed % 2 ? 4.0 : 7.0));
           start_hosts (&fleet, false, 1200 * STEP_US);
-          play (&fleet, &rng, 1250, 1900, usual * 4.0);
+          play (&fleet, &rng, 1205, 1900, usual * (seed % 2 ? 4.0 : 7.0));
           uint32_t worst = 0;
           uint32_t most = most_in_a_window (&fleet, 1900, &worst);
           CU_ASSERT_TRUE (most <= allowed (&fleet));
@@ -167,6 +179,67 @@
       start_hosts (&fleet, true, 1);
       play (&fleet, &rng, 0, 3000, 12.5);
       CU_ASSERT_TRUE (fleet.passed * 100 >= fleet.asked * 99);
+      if (fleet.passed * 100 < fleet.asked * 99)
+        fprintf (stderr, "hosts %u: %u of %u passed\n", hosts[f], fleet.passed,
+                 fleet.asked);
+      clear (&fleet);
+    }
+}
+
+/* Guards against requests that are refused although their tenant is within its rate,
+ * because a quarter of the hosts is cut off from the others and both sides assume what
+ * the other admits. Seen as 59 refused requests in 5 s (lamplight-search-grown scale-2).
+ */
+static void
+usual_demand_passes_in_a_cut (void)
+{
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    {
+      jd_philox_t state = { .seed = seed };
+      jd_rng_t rng = jd_philox_rng (&state);
+      jd_quota_fleet_t fleet = {
+        .count = 80, .rate_per_s = 15.0, .burst = 15.0, .report_steps = 83
+      };
+      start_hosts (&fleet, true, 1);
+      play (&fleet, &rng, 0, 1500, 9.5);
+      fleet.cut_hosts = 20;
+      play (&fleet, &rng, 1500, 2100, 9.5);
+      fleet.cut_hosts = 0;
+      play (&fleet, &rng, 2100, 2600, 9.5);
+      CU_ASSERT_TRUE (fleet.passed * 100 >= fleet.asked * 99);
+      if (fleet.passed * 100 < fleet.asked * 99)
+        fprintf (stderr, "seed %d: %u of %u passed\n", (int)seed, fleet.passed,
+                 fleet.asked);
+      clear (&fleet);
+    }
+}
+
+/* Guards against a tenant that gets its rate twice, once on each side of a cut that
+ * begins while it sends 4 or 7 times its usual. */
+static void
+hot_tenant_stays_within_its_rate_in_a_cut (void)
+{
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    {
+      jd_philox_t state = { .seed = seed };
+      jd_rng_t rng = jd_philox_rng (&state);
+      jd_quota_fleet_t fleet = {
+        .count = 86, .rate_per_s = 13.0, .burst = 13.0, .report_steps = 90
+      };
+      double usual = fleet.rate_per_s / 1.6;
+      start_hosts (&fleet, true, 1);
+      play (&fleet, &rng, 0, 300, usual);
+      play (&fleet, &rng, 300, 1000, usual * (seed % 2 ? 4.0 : 7.0));
+      fleet.cut_hosts = 29;
+      play (&fleet, &rng, 1000, 1700, usual * (seed % 2 ? 4.0 : 7.0));
+      fleet.cut_hosts = 0;
+      play (&fleet, &rng, 1700, 2300, usual * (seed % 2 ? 4.0 : 7.0));
+      uint32_t worst = 0;
+      uint32_t most = most_in_a_window (&fleet, 2300, &worst);
+      CU_ASSERT_TRUE (most <= allowed (&fleet));
+      if (most > allowed (&fleet))
+        fprintf (stderr, "cut, seed %d: %u of %.0f from step %u\n", (int)seed, most,
+                 allowed (&fleet), worst);
       clear (&fleet);
     }
 }
@@ -189,6 +262,76 @@
   jd_fleet_quota_free (quota);
 }
 
+/* Has a host tell that it admitted a request of a tenant in the last second. */
+static void
+tell_admission (jd_fleet_quota_t *quota, uint64_t host, uint64_t incarnation,
+                uint64_t admitted, int64_t now_us)
+{
+  jd_quota_report_t report = { .admitted = admitted,
+                               .demand_per_s = 1.0,
+                               .admitted_per_s = 1.0 };
+  jd_fleet_quota_t *sender = jd_fleet_quota_new (true);
+  int64_t retry_us = 0;
+  jd_fleet_quota_set (sender, "school", 10.0, 10.0, now_us);
+  jd_fleet_quota_admit (sender, "school", 1, now_us, &retry_us);
+  jd_quota_report_t own;
+  CU_ASSERT_EQUAL (jd_fleet_quota_reports (sender, &own, 1, now_us), 1);
+  report.tenant_hash = own.tenant_hash;
+  jd_fleet_quota_free (sender);
+  jd_fleet_quota_take_report (quota, host, incarnation, &report, now_us);
+  jd_fleet_quota_note_host (quota, host, incarnation, now_us);
+}
+
+/* Guards against hosts that are taken for cut off, and charged with requests that they
+ * never admitted, when they are idle or were restarted. Seen as tenants that were refused
+ * all requests for 9 s while they asked for less than their rate (signfold-search-grown
+ * scale-1: level -28 at a rate of 15 a second). */
+static void
+idle_and_restarted_hosts_are_not_charged (void)
+{
+  jd_fleet_quota_t *quota = jd_fleet_quota_new (true);
+  int64_t retry_us = 0, now_us = JD_US_PER_S;
+  jd_fleet_quota_set (quota, "school", 10.0, 10.0, now_us);
+  CU_ASSERT_TRUE (jd_fleet_quota_admit (quota, "school", 60, now_us, &retry_us));
+  for (uint64_t host = 1; host <= 60; host++)
+    tell_admission (quota, host, 7, 1, now_us);
+  /* Half of the hosts go on without requests of the tenant, half are restarted. */
+  for (uint32_t step = 0; step < 16; step++)
+    {
+      now_us += JD_US_PER_S / 2;
+      for (uint64_t host = 1; host <= 60; host++)
+        jd_fleet_quota_note_host (quota, host, host % 2 ? 7 : 8, now_us);
+      jd_fleet_quota_admit (quota, "school", 60, now_us, &retry_us);
+    }
+  CU_ASSERT_TRUE (jd_fleet_quota_view (quota, "school", now_us).level > 8.0);
+  jd_fleet_quota_free (quota);
+}
+
+/* Guards against hosts that are cut off and go on to admit requests that the others give
+ * away as well. */
+static void
+silent_hosts_are_charged (void)
+{
+  jd_fleet_quota_t *quota = jd_fleet_quota_new (true);
+  int64_t retry_us = 0, now_us = JD_US_PER_S;
+  jd_fleet_quota_set (quota, "school", 10.0, 10.0, now_us);
+  CU_ASSERT_TRUE (jd_fleet_quota_admit (quota, "school", 21, now_us, &retry_us));
+  /* 20 hosts with 1 request a second each, which is twice the rate. */
+  for (uint64_t second = 1; second <= 10; second++)
+    {
+      now_us += JD_US_PER_S;
+      for (uint64_t host = 1; host <= 20; host++)
+        tell_admission (quota, host, 7, second, now_us);
+    }
+  for (uint32_t step = 0; step < 80; step++)
+    {
+      now_us += JD_US_PER_S / 10;
+      jd_fleet_quota_admit (quota, "school", 21, now_us, &retry_us);
+    }
+  CU_ASSERT_TRUE (jd_fleet_quota_view (quota, "school", now_us).level < -20.0);
+  jd_fleet_quota_free (quota);
+}
+
 /* Guards against a limit on tenants that have none. */
 static void
 no_rate_means_no_limit (void)
@@ -206,7 +349,13 @@
   static const jd_test_case_t cases[] = {
     { "hot tenant stays within its rate", hot_tenant_stays_within_its_rate },
     { "usual demand passes", usual_demand_passes },
+    { "usual demand passes in a cut", usual_demand_passes_in_a_cut },
+    { "hot tenant stays within its rate in a cut",
+      hot_tenant_stays_within_its_rate_in_a_cut },
     { "admissions are news until told", admissions_are_news_until_told },
+    { "idle and restarted hosts are not charged",
+      idle_and_restarted_hosts_are_not_charged },
+    { "silent hosts are charged", silent_hosts_are_charged },
     { "no rate means no limit", no_rate_means_no_limit },
   };
   return JD_TEST_RUN ("fleet_quota", cases);
--- /dev/null
+++ b/test/unit/test_peer_gossip.c
@@ -0,0 +1,152 @@
+#include "transport/peer_gossip.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "support/free_port.h"
+#include "support/test_main.h"
+
+#define NODES 2
+#define INTERVAL_S 0.25
+/* A fleet for which messages are stretched to more than a second. */
+#define HOSTS_TOLD 110
+
+/* One host's side of the exchange, at 127.0.0.N. */
+typedef struct jd_gossip_node
+{
+  uint32_t ip;
+  uint64_t incarnation;
+  uint32_t filled;
+  jd_peer_table_t *peers;
+  jd_fleet_quota_t *quota;
+  jd_peer_gossip_t *gossip;
+} jd_gossip_node_t;
+
+static void
+fill_state (void *context, jd_peer_state_t *state)
+{
+  jd_gossip_node_t *node = context;
+  node->filled++;
+  state->ip = node->ip;
+  state->incarnation = node->incarnation;
+  g_strlcpy (state->name, "node", sizeof (state->name));
+  g_strlcpy (state->zone, "a", sizeof (state->zone));
+}
+
+static void
+ignore_heard (void *context)
+{
+}
+
+/* Opens a node; with hosts it has heard of that many others, most of which do not exist.
+ */
+static void
+open_node (jd_gossip_node_t *node, struct ev_loop *loop, uint32_t number, uint16_t port,
+           uint32_t hosts)
+{
+  *node = (jd_gossip_node_t){ .ip = 0x7f000001 + number, .incarnation = 50 + number };
+  node->peers = jd_peer_table_new (node->ip, "a");
+  node->quota = jd_fleet_quota_new (true);
+  jd_fleet_quota_set (node->quota, "school", 10.0, 10.0, jd_monotonic_us ());
+  char *address = g_strdup_printf ("127.0.0.%u:%u", number + 1, port);
+  jd_peer_gossip_options_t options = {
+    .loop = loop,
+    .address = address,
+    .port = port,
+    .interval_s = INTERVAL_S,
+    .peers = node->peers,
+    .quota = node->quota,
+    .fill_state = fill_state,
+    .on_heard = ignore_heard,
+    .context = node,
+  };
+  GError *error = NULL;
+  node->gossip = jd_peer_gossip_new (&options, &error);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (node->gossip);
+  g_free (address);
+  for (uint32_t i = 0; i < hosts; i++)
+    {
+      jd_peer_state_t state = { .ip = 0x7f000101 + i, .incarnation = 1, .sequence = 1 };
+      jd_peer_table_hear (node->peers, &state, jd_monotonic_us ());
+    }
+  for (uint32_t i = 0; i < NODES; i++)
+    {
+      if (i != number)
+        jd_peer_table_learn (node->peers, 0x7f000001 + i);
+    }
+}
+
+static void
+close_node (jd_gossip_node_t *node)
+{
+  jd_peer_gossip_free (node->gossip);
+  jd_fleet_quota_free (node->quota);
+  jd_peer_table_free (node->peers);
+}
+
+/* Runs the loop for some time. */
+static void
+run_for (struct ev_loop *loop, double seconds)
+{
+  int64_t until_us = jd_monotonic_us () + (int64_t)(seconds * (double)JD_US_PER_S);
+  while (jd_monotonic_us () < until_us)
+    {
+      ev_run (loop, EVRUN_NOWAIT);
+      g_usleep (JD_US_PER_MS);
+    }
+}
+
+/* Returns how many requests of the tenant a host still admits now. */
+static uint32_t
+left_to_admit (jd_fleet_quota_t *quota)
+{
+  uint32_t admitted = 0;
+  int64_t retry_us = 0;
+  while (admitted < 100 &&
+         jd_fleet_quota_admit (quota, "school", 1, jd_monotonic_us (), &retry_us))
+    admitted++;
+  return admitted;
+}
+
+/* Guards against admissions that others hear of only with the next regular message, which
+ * in a fleet of 86 hosts is 0.5 to 0.9 s away. Seen as 129 requests of a tenant in 5 s of
+ * 125 (deploy/days/callers.toml on signfold-search-grown, seed 21035119383). */
+static void
+large_fleet_hears_of_admissions_at_once (void)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  uint16_t port = jd_test_free_port ();
+  jd_gossip_node_t nodes[NODES];
+  for (uint32_t i = 0; i < NODES; i++)
+    open_node (&nodes[i], loop, i, port, HOSTS_TOLD);
+  /* The interval stretches once the nodes are no longer new, after 3 s. */
+  run_for (loop, 4.6);
+  jd_peer_gossip_send_now (nodes[0].gossip);
+  run_for (loop, 0.05);
+  uint32_t before = nodes[0].filled;
+  for (uint32_t i = 0; i < 9; i++)
+    {
+      int64_t retry_us = 0;
+      CU_ASSERT_TRUE (jd_fleet_quota_admit (nodes[0].quota, "school", 1,
+                                            jd_monotonic_us (), &retry_us));
+      jd_peer_gossip_note_admission (nodes[0].gossip);
+    }
+  run_for (loop, 0.15);
+  /* All in one message. */
+  CU_ASSERT_EQUAL (nodes[0].filled, before + 1);
+  /* 9 of the burst of 10 are used; 10 a second come back. */
+  CU_ASSERT_TRUE (left_to_admit (nodes[1].quota) <= 5);
+  for (uint32_t i = 0; i < NODES; i++)
+    close_node (&nodes[i]);
+  ev_loop_destroy (loop);
+}
+
+int
+main (void)
+{
+  static const jd_test_case_t cases[] = {
+    { "large fleet hears of admissions at once",
+      large_fleet_hears_of_admissions_at_once },
+  };
+  return JD_TEST_RUN ("peer_gossip", cases);
+}
