--- a/src/limits/fleet_quota.c
+++ b/src/limits/fleet_quota.c
@@ -18,6 +18,9 @@
 /* What a silent host admits is estimated over this time. It is assumed for many seconds,
  * so a chance burst in a shorter one would cost the others their tokens. */
 #define SILENCE_WINDOW_US (5 * JD_US_PER_S)
+/* Reports of others come up to a thousand times a second; the hosts behind a tenant's
+ * bucket are looked through no more often than this for them. */
+#define SURVEY_US (200 * JD_US_PER_MS)
 /* Demand that is assumed at least, which keeps shares finite. */
 #define DEMAND_MIN_PER_S 0.1
 /* Below this part of the rate, hosts need not divide it. */
@@ -73,7 +76,9 @@
   uint64_t admitted;
   uint64_t reported; /* Value of admitted in the last report. */
   double demand_per_s;
-  double others_per_s; /* Demand at other hosts, as of the last request. */
+  double others_per_s; /* Demand at other hosts, as of the last survey. */
+  double silent_per_s; /* Assumed to be admitted by silent hosts. */
+  int64_t surveyed_us;
   double recent_per_s; /* Admitted by this host, smoothed as demand_per_s. */
   int64_t demand_us;
   GHashTable *peers; /* host -> jd_quota_peer_t */
@@ -187,9 +192,9 @@
   return per_s * (double)MAX (now_us - from_us, 0) / (double)JD_US_PER_S;
 }
 
-/* Adds up what others ask for, and what silent ones are assumed to have admitted since a
- * time. Forgets processes that have ended or are silent for long. */
-static double
+/* Adds up what others ask for, and what silent ones are assumed to admit on average since
+ * a time. Forgets processes that have ended or are silent for long. */
+static void
 survey_peers (jd_quota_tenant_t *tenant, int64_t since_us, int64_t now_us)
 {
   double assumed = 0.0;
@@ -216,7 +221,9 @@
       if (is_silent)
         assumed += assumed_admissions (peer, last_us, since_us, now_us);
     }
-  return assumed;
+  double elapsed_s = (double)(now_us - since_us) / (double)JD_US_PER_S;
+  tenant->silent_per_s = elapsed_s > 0.0 ? assumed / elapsed_s : 0.0;
+  tenant->surveyed_us = now_us;
 }
 
 /* Fills the fleet-wide bucket up to now. What others admitted has to be taken out of a
@@ -228,11 +235,12 @@
   int64_t since_us = tenant->level_us;
   if (now_us <= since_us)
     return;
-  double assumed = survey_peers (tenant, since_us, now_us);
-  double refilled = tenant->rate_per_s * (1.0 + RATE_MARGIN) *
-                    (double)(now_us - since_us) / (double)JD_US_PER_S;
+  if (now_us - tenant->surveyed_us >= SURVEY_US)
+    survey_peers (tenant, since_us, now_us);
+  double per_s = tenant->rate_per_s * (1.0 + RATE_MARGIN) - tenant->silent_per_s;
+  double elapsed_s = (double)(now_us - since_us) / (double)JD_US_PER_S;
   tenant->level_us = now_us;
-  tenant->level = MIN (tenant->level + refilled - assumed, tenant->burst);
+  tenant->level = MIN (tenant->level + per_s * elapsed_s, tenant->burst);
   tenant->level = MAX (tenant->level, -(tenant->burst + tenant->rate_per_s * DEBT_S));
 }
 
