--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -75,7 +75,8 @@
   uint32_t sent;
   uint32_t served;
   uint32_t violations;
-  bool quiet; /* No more faults. */
+  bool quiet;          /* No more faults. */
+  const char *planted; /* Rule whose violation is planted; "" for none. */
 } jd_soak_t;
 
 typedef struct jd_soak_call
@@ -97,6 +98,13 @@
           (jd_monotonic_us () - soak->start_us) / JD_US_PER_MS, detail);
 }
 
+/* TRUE when the violation of a rule is to be planted. */
+static bool
+plants (const jd_soak_t *soak, const char *rule)
+{
+  return strcmp (soak->planted, rule) == 0;
+}
+
 /* Returns how often the targets together ran a request. */
 static uint32_t
 runs_of (const jd_soak_t *soak, const char *id)
@@ -139,16 +147,43 @@
   g_strfreev (signatures);
 }
 
+/* Changes what a caller got so that it breaks the rule that is planted. */
+static void
+plant_violation (const jd_soak_t *soak, const jd_soak_call_t *call, jd_lab_reply_t *reply,
+                 uint32_t *runs)
+{
+  bool is_search_answer = call->is_search && reply->status == 200;
+  if (plants (soak, "whole_answer") && is_search_answer)
+    reply->signatures = (char *)"soak-none-";
+  if (plants (soak, "true_coverage") && is_search_answer)
+    reply->missing = (char *)"9";
+  if (plants (soak, "min_coverage") && is_search_answer)
+    reply->signatures = (char *)call->id;
+  if (plants (soak, "at_most_once") && call->is_edit)
+    *runs = 2;
+  if (plants (soak, "not_run") && call->is_edit && *runs > 0)
+    reply->status = 503;
+  if (plants (soak, "denied"))
+    reply->status = 401;
+  if (plants (soak, "nothing_cut") || plants (soak, "answer_in_time"))
+    reply->status = 0;
+  if (plants (soak, "answer_in_time"))
+    reply->timed_out = true;
+}
+
 /* Call callback: checks what a caller got. */
 static void
-on_reply (void *context, const jd_lab_reply_t *reply)
+on_reply (void *context, const jd_lab_reply_t *received)
 {
   jd_soak_call_t *call = context;
   jd_soak_t *soak = call->soak;
+  jd_lab_reply_t seen = *received;
+  const jd_lab_reply_t *reply = &seen;
+  uint32_t runs = call->is_search ? 0 : runs_of (soak, call->id);
+  plant_violation (soak, call, &seen, &runs);
   soak->open--;
   bool is_success = reply->status == 200;
   soak->served += is_success;
-  uint32_t runs = call->is_search ? 0 : runs_of (soak, call->id);
   if (call->is_edit && runs > 1)
     violate (soak, "at_most_once", call->id, "edit ran again");
   if (call->is_edit && runs > 0 && (reply->status == 503 || reply->status == 429))
@@ -359,13 +394,28 @@
     }
 }
 
-/* Runs load, and faults unless quiet, for a time. */
+/* Plants the violations that no single answer shows. */
+static void
+plant_fault (jd_soak_t *soak)
+{
+  if (plants (soak, "host_ended") && soak->lab.hosts[0].pid != 0 && !soak->stopping[0])
+    kill (soak->lab.hosts[0].pid, SIGKILL);
+  if (!plants (soak, "recovery") || !soak->quiet)
+    return;
+  jd_shard_faults_t faults = { .error_share = 1.0 };
+  for (uint32_t i = 0; i < soak->lab.target_count; i++)
+    jd_shard_target_set_faults (soak->lab.targets[i].target, &faults);
+}
+
+/* Runs load, and faults unless quiet, for a time. Ends when a planted violation was
+ * found. */
 static void
 run_for (jd_soak_t *soak, double seconds)
 {
   int64_t end_us = jd_monotonic_us () + (int64_t)(seconds * (double)JD_US_PER_S);
-  while (jd_monotonic_us () < end_us)
+  while (jd_monotonic_us () < end_us && (*soak->planted == '\0' || soak->violations == 0))
     {
+      plant_fault (soak);
       end_faults (soak);
       if (!soak->quiet && jd_rng_below (&soak->rng, 10) == 0)
         start_fault (soak);
@@ -408,6 +458,9 @@
     .min = 1,
     .max = JD_LAB_HOSTS_MAX,
     .help = "number of host processes" },
+  { .name = "plant",
+    .type = JD_SETTING_TEXT,
+    .help = "rule whose violation is planted, to show that its check finds it" },
 };
 
 /* Runs one seed; the exit status is 0 when every promise was kept. */
@@ -427,6 +480,7 @@
   soak.random.seed = (uint64_t)settings[0].integer;
   soak.rng = jd_philox_rng (&soak.random);
   soak.start_us = jd_monotonic_us ();
+  soak.planted = settings[3].text ? settings[3].text : "";
   jd_host_lab_open (&soak.lab, (uint32_t)settings[2].integer, 4);
   for (uint32_t i = 0; i < soak.lab.host_count; i++)
     {
