feat(routing): let hosts borrow extra attempts that the others leave unused

Cause: each of 86 hosts had its own share of the extra requests that a service bears, which is one at a time and one in 5 s. Ruled out: a larger reserve for each host (86 hosts that use it on one lost shard exceed the bound: 86 x 2 and the refill of 10 s are 358 of 302). Conclusion: hosts tell each other of their extra attempts with their state and lend each other up to half of the slack, less what was used. A restarted host borrows nothing for a window.

--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -15,10 +15,6 @@
 #define READ_INTERVAL_MAX_US (2 * JD_US_PER_S)
 #define GOSSIP_INTERVAL_S 0.25
 #define UPKEEP_INTERVAL_S 0.25
-/* Part of the slack for extra requests that hosts plan with. */
-#define RETRY_SLACK_SHARE 0.85
-/* Part of a host's slack that may be used at once. */
-#define RETRY_RESERVE_SHARE 0.4
 /* A host that reaches too few targets for this share of its recent requests sends callers
  * to other hosts, until it reaches enough but for the smaller share. */
 #define UNREACHED_TO_LEAVE 0.5
@@ -52,18 +48,30 @@
   jd_replica_registry_set_hosts (host->registry, hosts, rank);
 }
 
-/* Gives a service this host's part of the slack for extra requests: some to save, the
- * rest over the window in which they are counted. */
+/* Gives a service this host's part of the slack for extra requests. */
 static void
 refill_pool (void *context, jd_replica_pool_t *pool)
 {
   jd_host_t *host = context;
-  double slack = (double)host->retry_slack * RETRY_SLACK_SHARE / (double)host->hosts;
-  double reserve = MAX (slack * RETRY_RESERVE_SHARE, 1.0);
-  double window_s = (double)host->retry_window_us / (double)JD_US_PER_S;
-  jd_hedge_budget_set_slack (&pool->extra, slack * (1.0 - RETRY_RESERVE_SHARE) / window_s,
-                             reserve);
+  const jd_extra_shares_t *shares = &host->extra_shares;
+  jd_hedge_budget_set_slack (&pool->extra, shares->slack_per_s, shares->reserve);
   jd_hedge_budget_refill (&pool->extra, jd_monotonic_us ());
+  jd_extra_pool_set_limit (&pool->shared, shares->borrow_limit, host->retry_window_us);
+}
+
+/* Divides the slack for extra requests among the hosts. */
+static void
+update_extra_shares (jd_host_t *host, int64_t now_us)
+{
+  jd_extra_slack_t slack = {
+    .slack = host->retry_slack,
+    .window_us = host->retry_window_us,
+    .hosts = host->hosts,
+    .live = jd_peer_table_live_count (host->peers, now_us) + 1,
+    .knows_window =
+        host->first_start || now_us - host->started_us >= host->retry_window_us,
+  };
+  host->extra_shares = jd_extra_shares (&slack);
 }
 
 /* Refills what a cold replica may get. */
@@ -114,6 +122,7 @@
   jd_host_t *host = timer->data;
   int64_t now_us = jd_monotonic_us ();
   apply_hosts (host, now_us);
+  update_extra_shares (host, now_us);
   jd_replica_registry_each_pool (host->registry, refill_pool, host);
   jd_replica_registry_each (host->registry, refill_replica, host);
   update_reach (host, now_us);
@@ -481,6 +490,8 @@
   host->zone = g_strdup (settings->zone);
   host->ip = ntohl (ip.s_addr);
   host->incarnation = jd_entropy ();
+  host->first_start = settings->first_start;
+  host->started_us = jd_monotonic_us ();
   host->max_requests = settings->memory_mb * 1024 / 2 / REQUEST_MEMORY_KB;
   host->salt = (uint32_t)jd_entropy ();
   host->hosts = JD_HOSTS_UNHEARD;
--- a/src/daemons/host_defs.h
+++ b/src/daemons/host_defs.h
@@ -61,6 +61,9 @@
   int64_t stop_grace_us;
   uint32_t retry_slack;
   int64_t retry_window_us;
+  jd_extra_shares_t extra_shares;
+  bool first_start;
+  int64_t started_us;
   uint32_t cold_slack;
   uint32_t max_requests;
 
--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -144,6 +144,19 @@
   return rank;
 }
 
+/* Returns the number of other hosts that are heard. */
+uint32_t
+jd_peer_table_live_count (const jd_peer_table_t *table, int64_t now_us)
+{
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, table->by_ip);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += is_live (value, now_us);
+  return count;
+}
+
 /* Lists the addresses of live hosts; returns their number. */
 uint32_t
 jd_peer_table_live (const jd_peer_table_t *table, uint32_t *ips, uint32_t max,
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -42,6 +42,7 @@
 uint32_t jd_peer_table_rank (const jd_peer_table_t *table, int64_t now_us);
 uint32_t jd_peer_table_live (const jd_peer_table_t *table, uint32_t *ips, uint32_t max,
                              int64_t now_us);
+uint32_t jd_peer_table_live_count (const jd_peer_table_t *table, int64_t now_us);
 uint32_t jd_peer_table_due (jd_peer_table_t *table, uint32_t *ips, uint32_t max,
                             int64_t now_us);
 bool jd_peer_table_should_read (const jd_peer_table_t *table, bool reads_now,
--- /dev/null
+++ b/src/routing/extra_reports.c
@@ -0,0 +1,57 @@
+#include "routing/extra_reports.h"
+
+typedef struct jd_report_list
+{
+  jd_extra_report_t *reports;
+  uint32_t max;
+  uint32_t count;
+  int64_t now_us;
+} jd_report_list_t;
+
+/* Registry visitor: takes a service's extra attempts into the list. */
+static void
+collect_report (void *context, jd_replica_pool_t *pool)
+{
+  jd_report_list_t *list = context;
+  if (pool->shared.untold == 0 || list->count == list->max)
+    return;
+  list->reports[list->count++] = (jd_extra_report_t){
+    .service_hash = pool->service_hash,
+    .count = jd_extra_pool_tell (&pool->shared),
+  };
+}
+
+/* Fills in the extra attempts that the others have not heard of; returns the number of
+ * services. What does not fit is left for the next time. */
+uint32_t
+jd_extra_reports_collect (jd_replica_registry_t *registry, jd_extra_report_t *reports,
+                          uint32_t max)
+{
+  jd_report_list_t list = { .reports = reports, .max = max };
+  jd_replica_registry_each_pool (registry, collect_report, &list);
+  return list.count;
+}
+
+/* Registry visitor: counts what another host reported of a service. */
+static void
+take_report (void *context, jd_replica_pool_t *pool)
+{
+  const jd_report_list_t *list = context;
+  for (uint32_t i = 0; i < list->count; i++)
+    {
+      if (list->reports[i].service_hash == pool->service_hash)
+        jd_extra_pool_hear (&pool->shared, list->reports[i].count, list->now_us);
+    }
+}
+
+/* Takes what another host reported. */
+void
+jd_extra_reports_take (jd_replica_registry_t *registry, const jd_extra_report_t *reports,
+                       uint32_t count, int64_t now_us)
+{
+  jd_report_list_t list = { .reports = (jd_extra_report_t *)reports,
+                            .count = count,
+                            .now_us = now_us };
+  if (count > 0)
+    jd_replica_registry_each_pool (registry, take_report, &list);
+}
--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -199,6 +199,18 @@
   return fanout->deadline_us - now_us >= ATTEMPT_MIN_US;
 }
 
+/* Takes one extra attempt from this host's share or, when that is used up, from what the
+ * hosts together leave unused. */
+static bool
+take_extra (jd_replica_pool_t *pool, int64_t now_us)
+{
+  if (!jd_hedge_budget_take (&pool->extra) &&
+      !jd_extra_pool_lends (&pool->shared, now_us))
+    return false;
+  jd_extra_pool_note_own (&pool->shared, now_us);
+  return true;
+}
+
 /* Asks another replica, if one may and the budget allows it. An attempt after ones that
  * never arrived anywhere is no extra one. */
 static bool
@@ -210,7 +222,7 @@
   jd_replica_t *replica = choose (fanout, part, now_us);
   if (!replica)
     return false;
-  if (is_extra && !jd_hedge_budget_take (&part->pool->extra))
+  if (is_extra && !take_extra (part->pool, now_us))
     return false;
   return attempt (fanout, index, replica, now_us);
 }
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "routing/extra_pool.h"
 #include "routing/hedge_budget.h"
 
 typedef struct jd_replica_pool jd_replica_pool_t;
@@ -87,6 +88,8 @@
   uint32_t max_connections; /* Of one target, from all hosts. */
   double cold_per_s;        /* Requests a second that a cold target bears; 0: no limit. */
   jd_hedge_budget_t extra;  /* Attempts beyond the first of each request. */
+  jd_extra_pool_t shared;   /* The same of all hosts. */
+  uint32_t service_hash;    /* Names it in messages between hosts. */
 };
 
 jd_replica_t *jd_replica_ref (jd_replica_t *replica);
--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -7,7 +7,7 @@
 #include "base/log_event.h"
 #include "routing/connection_share.h"
 
-/* Hosts name targets to each other by hashes with this seed. */
+/* Hosts name targets and services to each other by hashes with this seed. */
 #define ID_HASH_SEED UINT64_C (0x74)
 
 struct jd_replica_registry
@@ -70,6 +70,7 @@
       pool = g_new0 (jd_replica_pool_t, 1);
       pool->references = 1;
       pool->service = g_strdup (service);
+      pool->service_hash = (uint32_t)jd_hash_text (service, ID_HASH_SEED);
       pool->replicas = g_ptr_array_new ();
       g_hash_table_insert (registry->by_service, pool->service, pool);
     }
--- a/src/transport/peer_gossip.c
+++ b/src/transport/peer_gossip.c
@@ -14,7 +14,7 @@
 /* One datagram stays under the usual packet size. */
 #define DATAGRAM_BYTES 1400
 /* First field of a message: its kind and format. */
-#define MESSAGE_STATE 2
+#define MESSAGE_STATE 5
 #define MESSAGE_ADMISSIONS 3
 #define MESSAGE_TARGETS 4
 #define HOSTS_MAX 1024
@@ -24,6 +24,8 @@
 #define KNOWN_MAX 24
 #define KNOWN_EVERY 8
 #define REPORTS_MAX 40
+/* Services in one message. */
+#define EXTRAS_MAX 64
 /* Targets in one message. */
 #define HINTS_MAX 100
 /* Targets that are slow or fail are told of this often. */
@@ -106,6 +108,21 @@
     }
 }
 
+/* Packs the extra attempts at services. */
+static void
+pack_extras (jd_peer_gossip_t *gossip, msgpack_packer *packer)
+{
+  jd_extra_report_t reports[EXTRAS_MAX];
+  uint32_t count =
+      jd_extra_reports_collect (gossip->options.registry, reports, EXTRAS_MAX);
+  msgpack_pack_array (packer, count);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      msgpack_pack_uint32 (packer, reports[i].service_hash);
+      msgpack_pack_uint32 (packer, reports[i].count);
+    }
+}
+
 /* Sends a message to some hosts. */
 static void
 send_to (const jd_peer_gossip_t *gossip, const msgpack_sbuffer *message,
@@ -143,6 +160,7 @@
   pack_state (&packer, &state);
   pack_known (gossip, &packer, now_us);
   pack_reports (gossip, &packer, now_us);
+  pack_extras (gossip, &packer);
   uint32_t ips[HOSTS_MAX];
   uint32_t count = jd_peer_table_due (gossip->options.peers, ips, HOSTS_MAX, now_us);
   uint32_t copies = state.leaving ? URGENT_COPIES : 1;
@@ -269,12 +287,20 @@
   for (uint32_t i = 0; i < known_count; i++)
     known[i] = (uint32_t)jd_wire_read_unsigned (reader, UINT32_MAX);
   uint32_t report_count = read_reports (reader, reports);
+  jd_extra_report_t extras[EXTRAS_MAX] = { { 0 } };
+  uint32_t extra_count = jd_wire_read_array (reader, EXTRAS_MAX);
+  for (uint32_t i = 0; i < extra_count; i++)
+    {
+      extras[i].service_hash = (uint32_t)jd_wire_read_unsigned (reader, UINT32_MAX);
+      extras[i].count = (uint32_t)jd_wire_read_unsigned (reader, UINT32_MAX);
+    }
   int64_t now_us = jd_monotonic_us ();
   if (reader->failure || !jd_peer_table_hear (gossip->options.peers, &state, now_us))
     return;
   for (uint32_t i = 0; i < known_count; i++)
     jd_peer_table_learn (gossip->options.peers, known[i]);
   take_reports (gossip, state.ip, state.incarnation, reports, report_count, now_us);
+  jd_extra_reports_take (gossip->options.registry, extras, extra_count, now_us);
   jd_fleet_quota_note_host (gossip->options.quota, state.ip, state.incarnation, now_us);
   gossip->options.on_heard (gossip->options.context);
 }
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -4,6 +4,7 @@
 
 #include "limits/fleet_quota.h"
 #include "membership/peer_table.h"
+#include "routing/extra_reports.h"
 #include "routing/target_hints.h"
 
 /* Datagrams in which hosts tell each other about themselves and their tenants' use. */
