--- a/test/support/search_load.c
+++ b/test/support/search_load.c
@@ -221,6 +221,7 @@
       if (g_strcmp0 (known->id, id) == 0)
         replica = known;
     }
+  g_assert (replica);
   replica->idle_connections = 1;
   if (number % load->replicas == 0)
     jd_route_add_part (self->route, pool, 1.0);
