--- a/test/unit/test_peer_gossip.c
+++ b/test/unit/test_peer_gossip.c
@@ -1,10 +1,15 @@
 #include "transport/peer_gossip.h"
 
+#include <msgpack.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clock.h"
+#include "base/rng.h"
 #include "support/free_port.h"
 #include "support/test_main.h"
+#include "transport/socket_address.h"
 
 #define NODES 2
 #define INTERVAL_S 0.25
@@ -151,12 +156,101 @@
   ev_loop_destroy (loop);
 }
 
+/* Fills a datagram with a kind of message and items of random types and sizes. */
+static void
+pack_random (msgpack_sbuffer *buffer, const jd_rng_t *rng)
+{
+  msgpack_packer packer;
+  msgpack_sbuffer_clear (buffer);
+  msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
+  msgpack_pack_uint8 (&packer, (uint8_t)(2 + jd_rng_below (rng, 5)));
+  for (uint64_t i = jd_rng_below (rng, 30); i > 0; i--)
+    {
+      switch (jd_rng_below (rng, 5))
+        {
+        case 0:
+          msgpack_pack_array (&packer, jd_rng_below (rng, 2) ? 3 : UINT32_MAX);
+          break;
+        case 1:
+          msgpack_pack_int64 (&packer, -(int64_t)jd_rng_below (rng, UINT64_C (1) << 40));
+          break;
+        case 2:
+          msgpack_pack_str_with_body (&packer, "name", 4);
+          break;
+        case 3:
+          msgpack_pack_true (&packer);
+          break;
+        default:
+          msgpack_pack_uint64 (&packer, jd_rng_below (rng, UINT64_C (1) << 33));
+        }
+    }
+}
+
+/* Guards against datagrams that end a host, or that it takes although they are damaged:
+ * random items, and its own messages with some bytes changed or cut off. Between them it
+ * still hears a good host. */
+static void
+damaged_datagrams_are_survived (void)
+{
+  const char *rounds_text = g_getenv ("JACKDAW_FUZZ_ROUNDS");
+  uint64_t rounds = rounds_text ? g_ascii_strtoull (rounds_text, NULL, 10) : 20000;
+  struct ev_loop *loop = ev_loop_new (0);
+  uint16_t port = jd_test_free_port ();
+  jd_philox_t state = { .seed = 11 };
+  jd_rng_t rng = jd_philox_rng (&state);
+  jd_gossip_node_t node;
+  open_node (&node, loop, 0, port, 0);
+  char *own = g_strdup_printf ("127.0.0.2:%u", port);
+  char *to = g_strdup_printf ("127.0.0.1:%u", port);
+  struct sockaddr_in address;
+  jd_socket_parse (to, &address);
+  int fd = jd_socket_listen (own, SOCK_DGRAM, 0, NULL);
+  CU_ASSERT_TRUE_FATAL (fd >= 0);
+  run_for (loop, 0.3);
+  char message[4096];
+  ssize_t size = recv (fd, message, sizeof (message), 0);
+  CU_ASSERT_TRUE_FATAL (size > 0);
+  msgpack_sbuffer buffer;
+  msgpack_sbuffer_init (&buffer);
+  for (uint64_t i = 0; i < rounds; i++)
+    {
+      if (i % 2)
+        pack_random (&buffer, &rng);
+      else
+        {
+          msgpack_sbuffer_clear (&buffer);
+          msgpack_sbuffer_write (&buffer, message, (size_t)size);
+          for (uint64_t k = jd_rng_below (&rng, 6); k > 0; k--)
+            buffer.data[jd_rng_below (&rng, (uint64_t)size)] =
+                (char)jd_rng_below (&rng, 256);
+          buffer.size -= jd_rng_below (&rng, 4) ? 0 : jd_rng_below (&rng, (uint64_t)size);
+        }
+      sendto (fd, buffer.data, buffer.size, 0, (struct sockaddr *)&address,
+              sizeof (address));
+      if (i % 32 == 0)
+        ev_run (loop, EVRUN_NOWAIT);
+    }
+  msgpack_sbuffer_destroy (&buffer);
+  close (fd);
+  jd_gossip_node_t good;
+  open_node (&good, loop, 1, port, 0);
+  run_for (loop, 0.6);
+  CU_ASSERT_TRUE (jd_peer_table_live_count (good.peers, jd_monotonic_us ()) >= 1);
+  CU_ASSERT_TRUE (jd_peer_table_live_count (node.peers, jd_monotonic_us ()) >= 1);
+  close_node (&good);
+  close_node (&node);
+  ev_loop_destroy (loop);
+  g_free (own);
+  g_free (to);
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
     { "large fleet hears of admissions at once",
       large_fleet_hears_of_admissions_at_once },
+    { "damaged datagrams are survived", damaged_datagrams_are_survived },
   };
   return JD_TEST_RUN ("peer_gossip", cases);
 }
