--- a/src/routing/latency_tracker.c
+++ b/src/routing/latency_tracker.c
@@ -37,8 +37,8 @@
 }
 
 /* Returns the factor, 1 at most, by which the latencies count for less because they are
- * old. A target that gets no requests would otherwise keep the latency that it had when it
- * was slow, and so never get any again. */
+ * old. A target that gets no requests would otherwise keep the latency that it had when
+ * it was slow, and so never get any again. */
 double
 jd_latency_tracker_fading (const jd_latency_tracker_t *tracker, int64_t now_us)
 {
