--- a/test/unit/test_peer_gossip.c
+++ b/test/unit/test_peer_gossip.c
@@ -13,6 +13,7 @@
 
 #define NODES 2
 #define INTERVAL_S 0.25
+#define DATAGRAM_MAX 4096
 /* A fleet for which messages are stretched to more than a second. */
 #define HOSTS_TOLD 110
 
@@ -156,13 +157,15 @@
   ev_loop_destroy (loop);
 }
 
-/* Fills a datagram with a kind of message and items of random types and sizes. */
-static void
-pack_random (msgpack_sbuffer *buffer, const jd_rng_t *rng)
+/* Fills a datagram with a kind of message and items of random types and sizes; returns
+ * its size. */
+static size_t
+pack_random (char *datagram, const jd_rng_t *rng)
 {
+  msgpack_sbuffer buffer;
   msgpack_packer packer;
-  msgpack_sbuffer_clear (buffer);
-  msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
   msgpack_pack_uint8 (&packer, (uint8_t)(2 + jd_rng_below (rng, 5)));
   for (uint64_t i = jd_rng_below (rng, 30); i > 0; i--)
     {
@@ -184,6 +187,21 @@
           msgpack_pack_uint64 (&packer, jd_rng_below (rng, UINT64_C (1) << 33));
         }
     }
+  size_t size = MIN (buffer.size, DATAGRAM_MAX);
+  if (buffer.data)
+    memcpy (datagram, buffer.data, size);
+  msgpack_sbuffer_destroy (&buffer);
+  return size;
+}
+
+/* Copies a message and changes or cuts off some of its bytes; returns its size. */
+static size_t
+damage (char *datagram, const char *message, size_t size, const jd_rng_t *rng)
+{
+  memcpy (datagram, message, size);
+  for (uint64_t k = jd_rng_below (rng, 6); k > 0; k--)
+    datagram[jd_rng_below (rng, size)] = (char)jd_rng_below (rng, 256);
+  return jd_rng_below (rng, 4) ? size : jd_rng_below (rng, size);
 }
 
 /* Guards against datagrams that end a host, or that it takes although they are damaged:
@@ -207,30 +225,18 @@
   int fd = jd_socket_listen (own, SOCK_DGRAM, 0, NULL);
   CU_ASSERT_TRUE_FATAL (fd >= 0);
   run_for (loop, 0.3);
-  char message[4096];
+  char message[DATAGRAM_MAX];
   ssize_t size = recv (fd, message, sizeof (message), 0);
   CU_ASSERT_TRUE_FATAL (size > 0);
-  msgpack_sbuffer buffer;
-  msgpack_sbuffer_init (&buffer);
+  char datagram[DATAGRAM_MAX];
   for (uint64_t i = 0; i < rounds; i++)
     {
-      if (i % 2)
-        pack_random (&buffer, &rng);
-      else
-        {
-          msgpack_sbuffer_clear (&buffer);
-          msgpack_sbuffer_write (&buffer, message, (size_t)size);
-          for (uint64_t k = jd_rng_below (&rng, 6); k > 0; k--)
-            buffer.data[jd_rng_below (&rng, (uint64_t)size)] =
-                (char)jd_rng_below (&rng, 256);
-          buffer.size -= jd_rng_below (&rng, 4) ? 0 : jd_rng_below (&rng, (uint64_t)size);
-        }
-      sendto (fd, buffer.data, buffer.size, 0, (struct sockaddr *)&address,
-              sizeof (address));
+      size_t length = i % 2 ? pack_random (datagram, &rng)
+                            : damage (datagram, message, (size_t)size, &rng);
+      sendto (fd, datagram, length, 0, (struct sockaddr *)&address, sizeof (address));
       if (i % 32 == 0)
         ev_run (loop, EVRUN_NOWAIT);
     }
-  msgpack_sbuffer_destroy (&buffer);
   close (fd);
   jd_gossip_node_t good;
   open_node (&good, loop, 1, port, 0);
