fix(routing): tell of one slow attempt only when it is far beyond the usual

Cause: one attempt over 250 ms and 2.5 times the usual latency was told to all hosts as a slow target. Fetches of 120 ms take as long without any trouble in 3 of 100 cases (arithmetic), so sound targets were avoided for a second. Ruled out: a longer fixed bound; searches would then learn later of dead targets. Conclusion: one attempt alone must also take STUCK_FACTOR times the usual; two poor ones far enough apart count as before. An abandoned attempt is noted once.

--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -33,7 +33,8 @@
 #define FAILED_FACTOR 5.0
 /* Targets pause for up to 150 ms now and then. Other hosts are told of a target after
  * poor answers to two requests that no such pause can have met both, or of one attempt
- * that took longer than a pause. */
+ * that took longer than a pause and STUCK_FACTOR times the usual latency: long requests
+ * differ in length by more than a pause. */
 #define POOR_APART_MIN_US (200 * JD_US_PER_MS)
 #define POOR_APART_MAX_US (2 * JD_US_PER_S)
 #define POOR_ALONE_US (250 * JD_US_PER_MS)
@@ -120,8 +121,8 @@
                    apart_us <= POOR_APART_MAX_US;
   if (replica->poor_sent_us == 0 || apart_us > POOR_APART_MAX_US)
     replica->poor_sent_us = sent_us;
-  if ((is_second || elapsed_us >= POOR_ALONE_US) &&
-      now_us - replica->hinted_us >= HINT_INTERVAL_US)
+  bool is_enough_alone = elapsed_us >= POOR_ALONE_US && relative >= STUCK_FACTOR;
+  if ((is_second || is_enough_alone) && now_us - replica->hinted_us >= HINT_INTERVAL_US)
     replica->hint = MAX (replica->hint, relative);
 }
 
@@ -160,10 +161,12 @@
     case JD_REPLICA_ABANDONED:
       if (relative > replica->slowness)
         replica->slowness += SMOOTHING * (relative - replica->slowness);
-      if (relative >= POOR_FACTOR)
-        note_poor (replica, relative, elapsed_us, now_us);
       if (elapsed_us < STUCK_MIN_US || relative < STUCK_FACTOR)
-        return;
+        {
+          if (relative >= POOR_FACTOR)
+            note_poor (replica, relative, elapsed_us, now_us);
+          return;
+        }
       failed = 1.0;
       replica->consecutive_failures++;
       break;
--- a/test/unit/test_target_hints.c
+++ b/test/unit/test_target_hints.c
@@ -81,6 +81,28 @@
   jd_replica_registry_free (hearer);
 }
 
+/* Guards against sound targets that all hosts avoid because one long request took longer
+ * than a pause, as 3 in 100 fetches of 120 ms do. */
+static void
+one_long_request_is_not_told (void)
+{
+  const int64_t usual_us = 120 * JD_US_PER_MS;
+  jd_replica_t *here, *there;
+  jd_replica_registry_t *seer = new_registry (&here), *hearer = new_registry (&there);
+  int64_t now_us = 10 * JD_US_PER_S;
+  jd_replica_observe (here, JD_REPLICA_OK, 3 * usual_us, usual_us, now_us);
+  CU_ASSERT_EQUAL (tell (seer, hearer, now_us), 0);
+  /* A caller left it. */
+  now_us += 5 * JD_US_PER_S;
+  jd_replica_observe (here, JD_REPLICA_ABANDONED, 3 * usual_us, usual_us, now_us);
+  CU_ASSERT_EQUAL (tell (seer, hearer, now_us), 0);
+  now_us += 5 * JD_US_PER_S;
+  jd_replica_observe (here, JD_REPLICA_ABANDONED, 7 * usual_us, usual_us, now_us);
+  CU_ASSERT_EQUAL (tell (seer, hearer, now_us), 1);
+  jd_replica_registry_free (seer);
+  jd_replica_registry_free (hearer);
+}
+
 /* Guards against hosts that go on to avoid a target after one has found it well, and
  * against answers from before the trouble that count as such. */
 static void
@@ -129,6 +151,7 @@
   static const jd_test_case_t cases[] = {
     { "slow targets are told, pauses are not", slow_targets_are_told_pauses_are_not },
     { "one attempt without answer is told", one_attempt_without_answer_is_told },
+    { "one long request is not told", one_long_request_is_not_told },
     { "targets that are well again are told", targets_that_are_well_again_are_told },
     { "own sight goes before hints", own_sight_goes_before_hints },
   };
