test(soak): check rate, cold start, drain, keys, versions, attempts and graceful stop

Cause: the soak checked ten promises; those that need time to pass (a leaving target, a revoked key, a configuration that is not in force or goes back), the rate of a tenant, cold targets, attempts of one request, and callers that keep using open connections while a host stops were left to other tests. Ruled out: a stepped clock; jackdaw-host uses the time of day in log lines only (and the entry and broker for incarnations), so nothing could misbehave.

--- a/test/stand_ins/shard_target.c
+++ b/test/stand_ins/shard_target.c
@@ -16,6 +16,8 @@
   jd_caller_server_t *server;
   char *id;
   jd_shard_faults_t faults;
+  jd_shard_observer_t observer;
+  void *observer_context;
   jd_philox_t random;
   GHashTable *runs; /* request id -> count */
   uint32_t total_runs;
@@ -169,6 +171,11 @@
   target->saw_key |= jd_http_reader_value (reader, "Authorization") != NULL;
   jd_rng_t rng = jd_philox_rng (&target->random);
   double draw = jd_rng_unit (&rng) - target->faults.shed_share;
+  jd_shard_arrival_t arrival = { .request_id = id,
+                                 .tenant = tenant,
+                                 .runs = draw >= 0.0 };
+  if (target->observer)
+    target->observer (target->observer_context, target, &arrival);
   if (draw < 0.0)
     refuse (caller, 503, "X-Not-Executed: 1\r\n");
   else
@@ -222,6 +229,24 @@
   target->faults = *faults;
 }
 
+/* Has an observer called for each request that arrives for this target. */
+void
+jd_shard_target_observe (jd_shard_target_t *target, jd_shard_observer_t observer,
+                         void *context)
+{
+  target->observer = observer;
+  target->observer_context = context;
+}
+
+/* Gives the target another id, as after a restart; requests for the former one get 421.
+ */
+void
+jd_shard_target_rename (jd_shard_target_t *target, const char *id)
+{
+  g_free (target->id);
+  target->id = g_strdup (id);
+}
+
 /* Returns how often the target ran a request. */
 uint32_t
 jd_shard_target_runs (const jd_shard_target_t *target, const char *request_id)
--- a/test/stand_ins/shard_target.h
+++ b/test/stand_ins/shard_target.h
@@ -20,11 +20,25 @@
   bool hangs;         /* Requests run and get no answer. */
 } jd_shard_faults_t;
 
+/* A request that has arrived for this target. */
+typedef struct jd_shard_arrival
+{
+  const char *request_id;
+  const char *tenant; /* NULL: none was named. */
+  bool runs;          /* FALSE: the target refuses it. */
+} jd_shard_arrival_t;
+
+typedef void (*jd_shard_observer_t) (void *context, jd_shard_target_t *target,
+                                     const jd_shard_arrival_t *arrival);
+
 jd_shard_target_t *jd_shard_target_new (struct ev_loop *loop, const char *id,
                                         const char *address, uint64_t seed);
 void jd_shard_target_free (jd_shard_target_t *target);
 void jd_shard_target_set_faults (jd_shard_target_t *target,
                                  const jd_shard_faults_t *faults);
+void jd_shard_target_observe (jd_shard_target_t *target, jd_shard_observer_t observer,
+                              void *context);
+void jd_shard_target_rename (jd_shard_target_t *target, const char *id);
 uint32_t jd_shard_target_runs (const jd_shard_target_t *target, const char *request_id);
 uint32_t jd_shard_target_total_runs (const jd_shard_target_t *target);
 const char *jd_shard_target_last_tenant (const jd_shard_target_t *target);
--- a/test/support/host_lab.c
+++ b/test/support/host_lab.c
@@ -17,20 +17,54 @@
 
 #define CALL_SECONDS 5.0
 #define STOP_TIMEOUT_MS 9000
+/* Callers do not use a connection again that was idle for longer: four fifths of the idle
+ * time that the configuration allows. */
+#define IDLE_MAX_US (12 * JD_US_PER_S)
 
 typedef struct jd_lab_call
 {
   jd_host_lab_t *lab;
+  jd_lab_host_t *host; /* Whose connections are kept; NULL: they are not. */
   ev_io io;
   ev_timer timer;
   int fd;
   GString *output;
   size_t sent;
   jd_http_reader_t reader;
+  bool stray_bytes;
   jd_lab_done_t done;
   void *context;
 } jd_lab_call_t;
 
+/* Takes an open connection to a host; -1 when there is none. */
+static int
+take_idle (jd_lab_host_t *host)
+{
+  while (host->idle->len > 0)
+    {
+      jd_lab_idle_t idle = g_array_index (host->idle, jd_lab_idle_t, host->idle->len - 1);
+      g_array_set_size (host->idle, host->idle->len - 1);
+      char byte;
+      bool is_open = recv (idle.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+                     (errno == EAGAIN || errno == EWOULDBLOCK);
+      if (is_open && jd_monotonic_us () - idle.since_us < IDLE_MAX_US)
+        return idle.fd;
+      close (idle.fd);
+    }
+  return -1;
+}
+
+/* Keeps the connection of a call that was answered, or closes it. */
+static void
+release_connection (jd_lab_call_t *call, bool complete)
+{
+  jd_lab_idle_t idle = { .fd = call->fd, .since_us = jd_monotonic_us () };
+  if (complete && call->host && call->reader.keep_alive && !call->stray_bytes)
+    g_array_append_val (call->host->idle, idle);
+  else
+    close (call->fd);
+}
+
 /* Ends a call and tells its owner. */
 static void
 finish_call (jd_lab_call_t *call, bool complete, bool timed_out)
@@ -38,11 +72,12 @@
   jd_lab_reply_t reply = { .timed_out = timed_out };
   ev_io_stop (call->lab->loop, &call->io);
   ev_timer_stop (call->lab->loop, &call->timer);
-  close (call->fd);
+  release_connection (call, complete);
   if (complete)
     {
       reply.status = call->reader.parser.status_code;
       reply.close = !call->reader.keep_alive;
+      reply.stray_bytes = call->stray_bytes;
       reply.signatures = (char *)jd_http_reader_value (&call->reader, "X-Part-Stamps");
       if (!reply.signatures)
         reply.signatures = (char *)jd_http_reader_value (&call->reader, "X-Server-Stamp");
@@ -94,27 +129,39 @@
   size_t used = 0;
   jd_http_progress_t progress =
       jd_http_reader_feed (&call->reader, data, (size_t)size, &used);
+  call->stray_bytes = used < (size_t)size;
   if (progress != JD_HTTP_MORE)
     finish_call (call, progress == JD_HTTP_COMPLETE, false);
 }
 
-/* Sends bytes to an address and reads one answer. */
-static void
-start_call (jd_host_lab_t *lab, const char *address, const char *request, double seconds,
-            jd_lab_done_t done, void *context)
+/* Opens a connection to an address. */
+static int
+open_connection (const char *address)
 {
-  jd_lab_call_t *call = g_new0 (jd_lab_call_t, 1);
   struct sockaddr_in to;
   jd_socket_parse (address, &to);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (connect (fd, (struct sockaddr *)&to, sizeof (to)) != 0 && errno != EINPROGRESS)
+    g_printerr ("cannot connect to %s\n", address);
+  return fd;
+}
+
+/* Sends bytes to an address and reads one answer. With a host, its open connections are
+ * used, and this one is kept. */
+static void
+start_call (jd_host_lab_t *lab, jd_lab_host_t *host, const char *address,
+            const char *request, double seconds, jd_lab_done_t done, void *context)
+{
+  jd_lab_call_t *call = g_new0 (jd_lab_call_t, 1);
   call->lab = lab;
+  call->host = host;
   call->done = done;
   call->context = context;
   call->output = g_string_new (request);
   jd_http_reader_init (&call->reader, HTTP_RESPONSE, 65536, 1 << 20);
-  call->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (connect (call->fd, (struct sockaddr *)&to, sizeof (to)) != 0 &&
-      errno != EINPROGRESS)
-    g_printerr ("cannot connect to %s\n", address);
+  call->fd = host ? take_idle (host) : -1;
+  if (call->fd < 0)
+    call->fd = open_connection (address);
   ev_io_init (&call->io, on_call_io, call->fd, EV_WRITE);
   call->io.data = call;
   ev_io_start (lab->loop, &call->io);
@@ -132,7 +179,8 @@
   char address[32];
   g_snprintf (address, sizeof (address), "%s:%u", lab->hosts[host].ip,
               lab->hosts[host].callers_port);
-  start_call (lab, address, request, seconds, done, context);
+  start_call (lab, lab->keeps_connections ? &lab->hosts[host] : NULL, address, request,
+              seconds, done, context);
 }
 
 typedef struct jd_lab_wait
@@ -185,7 +233,7 @@
   jd_lab_wait_t wait = { 0 };
   g_snprintf (address, sizeof (address), "%s:%u", lab->hosts[host].ip, port);
   g_snprintf (request, sizeof (request), "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path);
-  start_call (lab, address, request, 1.0, copy_reply, &wait);
+  start_call (lab, NULL, address, request, 1.0, copy_reply, &wait);
   while (!wait.done)
     ev_run (lab->loop, EVRUN_ONCE);
   return wait.reply;
@@ -249,35 +297,82 @@
                     "priority", 1, "public", 0);
 }
 
+/* Returns a route to studio. */
+static json_t *
+new_studio_route (const char *prefix, const char *kind)
+{
+  json_t *route = new_route (prefix, kind);
+  json_object_set_new (route, "service", json_string ("studio"));
+  return route;
+}
+
+static json_t *
+new_service (const jd_host_lab_t *lab, const char *name, int max_connections)
+{
+  return json_pack ("{s:s, s:i, s:f}", "name", name, "maxConns", max_connections,
+                    "coldPerS", lab->cold_per_s);
+}
+
+static json_t *
+new_tenant (const char *name, json_t *keys, double rate_per_s)
+{
+  return json_pack ("{s:s, s:o, s:f, s:f}", "name", name, "apiKeys", keys, "ratePerS",
+                    rate_per_s, "burst", rate_per_s);
+}
+
+/* Returns all routes; shards are the names of the services of a search. */
+static json_t *
+new_routes (const jd_host_lab_t *lab, json_t *shards)
+{
+  json_t *search = new_route ("/search/", "safe");
+  json_object_set_new (search, "gather", shards);
+  json_object_set_new (search, "topK", json_integer (4));
+  json_object_set_new (search, "minCoverage", json_real (0.75));
+  json_t *routes = json_pack ("[o,o,o]", search, new_studio_route ("/fetch/", "safe"),
+                              new_studio_route ("/edit/", "unsafe"));
+  for (int64_t i = 0; lab->versioned_routes && i <= JD_LAB_OLDER_ROUTES; i++)
+    {
+      char prefix[32];
+      g_snprintf (prefix, sizeof (prefix), "/v%" G_GINT64_FORMAT "/", lab->version - i);
+      json_array_append_new (routes, new_studio_route (prefix, "safe"));
+    }
+  return routes;
+}
+
+static json_t *
+new_tenants (const jd_host_lab_t *lab)
+{
+  json_t *keys = json_array ();
+  if (lab->has_key)
+    json_array_append_new (keys, json_string ("lab-key"));
+  if (lab->has_guest_key)
+    json_array_append_new (keys, json_string ("guest-key"));
+  json_t *tenants = json_pack ("[o]", new_tenant ("school", keys, lab->rate_per_s));
+  if (lab->has_club)
+    json_array_append_new (tenants, new_tenant ("club", json_pack ("[s]", "club-key"),
+                                                lab->club_rate_per_s));
+  return tenants;
+}
+
 /* Publishes the next version of the configuration. */
 void
 jd_host_lab_publish_routes (jd_host_lab_t *lab)
 {
   json_t *shards = json_array ();
-  json_t *services = json_pack ("[{s:s, s:i}]", "name", "studio", "maxConns", 100);
+  json_t *services = json_pack ("[o]", new_service (lab, "studio", 100));
+  lab->version++;
   for (uint32_t i = 0; i < lab->shards; i++)
     {
       char name[16];
       g_snprintf (name, sizeof (name), "shard-%u", i);
       json_array_append_new (shards, json_string (name));
-      json_array_append_new (services,
-                             json_pack ("{s:s, s:i}", "name", name, "maxConns", 30));
+      json_array_append_new (services, new_service (lab, name, 30));
     }
-  json_t *search = new_route ("/search/", "safe");
-  json_object_set_new (search, "gather", shards);
-  json_object_set_new (search, "topK", json_integer (4));
-  json_object_set_new (search, "minCoverage", json_real (0.75));
-  json_t *fetch = new_route ("/fetch/", "safe");
-  json_t *edit = new_route ("/edit/", "unsafe");
-  json_object_set_new (fetch, "service", json_string ("studio"));
-  json_object_set_new (edit, "service", json_string ("studio"));
-  json_t *keys = lab->has_key ? json_pack ("[s]", "lab-key") : json_array ();
   json_t *config = json_pack (
-      "{s:I, s:[o,o,o], s:o, s:{s:i,s:i,s:i,s:i}, s:[{s:s, s:o, s:f, s:f}]}", "version",
-      (json_int_t)++lab->version, "routes", search, fetch, edit, "services", services,
-      "limits", "maxHeaderBytes", 16384, "maxBodyBytes", 65536, "headerTimeoutMs", 3000,
-      "idleTimeoutMs", 15000, "tenants", "name", "school", "apiKeys", keys, "ratePerS",
-      lab->rate_per_s, "burst", lab->rate_per_s);
+      "{s:I, s:o, s:o, s:{s:i,s:i,s:i,s:i}, s:o}", "version", (json_int_t)lab->version,
+      "routes", new_routes (lab, shards), "services", services, "limits",
+      "maxHeaderBytes", 16384, "maxBodyBytes", 65536, "headerTimeoutMs", 3000,
+      "idleTimeoutMs", 15000, "tenants", new_tenants (lab));
   char *text = json_dumps (config, JSON_COMPACT);
   jd_published_store_put (lab->store, "op/config", text);
   free (text);
@@ -288,12 +383,14 @@
 void
 jd_host_lab_publish_target (jd_host_lab_t *lab, uint32_t index, const char *state)
 {
-  const jd_lab_target_t *target = &lab->targets[index];
+  jd_lab_target_t *target = &lab->targets[index];
   char *key = g_strdup_printf ("servers/%s", target->id);
   char *value = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
-      "\"slots\":4,\"state\":\"%s\",\"coldLeftMs\":0,\"seq\":1,\"born\":1}",
-      target->service, target->published, target->zone, state ? state : "");
+      "\"slots\":4,\"state\":\"%s\",\"coldLeftMs\":%u,\"seq\":1,\"born\":%u}",
+      target->service, target->published, target->zone, state ? state : "",
+      target->cold_ms, 1 + target->starts);
+  target->cold_ms = 0;
   if (state)
     jd_published_store_put (lab->store, key, value);
   else
@@ -302,6 +399,20 @@
   g_free (value);
 }
 
+/* Ends a target and starts it again under another id; it is cold for a time. */
+void
+jd_host_lab_replace_target (jd_host_lab_t *lab, uint32_t index, uint32_t cold_ms)
+{
+  jd_lab_target_t *target = &lab->targets[index];
+  jd_host_lab_publish_target (lab, index, NULL);
+  if (target->relay)
+    jd_relay_reset (target->relay);
+  g_snprintf (target->id, sizeof (target->id), "i-%u-%u", index, ++target->starts);
+  jd_shard_target_rename (target->target, target->id);
+  target->cold_ms = cold_ms;
+  jd_host_lab_publish_target (lab, index, "ready");
+}
+
 static void
 add_target (jd_host_lab_t *lab, const char *service, const char *zone)
 {
@@ -415,6 +526,7 @@
       host->callers_port = jd_test_free_port ();
       host->readiness_port = jd_test_free_port ();
       host->metrics_port = jd_test_free_port ();
+      host->idle = g_array_new (FALSE, FALSE, sizeof (jd_lab_idle_t));
       host->settings_path = g_strdup_printf ("%s/host-%u.conf", lab->folder, i);
     }
   for (uint32_t i = 0; i < hosts; i++)
@@ -430,6 +542,9 @@
       jd_host_lab_stop_host (lab, i, SIGKILL);
       g_unlink (lab->hosts[i].settings_path);
       g_free (lab->hosts[i].settings_path);
+      for (guint k = 0; k < lab->hosts[i].idle->len; k++)
+        close (g_array_index (lab->hosts[i].idle, jd_lab_idle_t, k).fd);
+      g_array_free (lab->hosts[i].idle, TRUE);
     }
   for (uint32_t i = 0; i < lab->target_count; i++)
     {
