fix(daemons): answer a long head with a numbered error

Cause: libmicrohttpd rejects a head that does not fit its 32 kB of memory a connection with a page of HTML before ulfius sees it. Ruled out: an error callback; the library has none for this case. Conclusion: 1 MB a connection (mapped, touched as far as used) and a limit of 32 kB of our own. A head over 1 MB still gets the library's page.

--- a/src/daemons/entry_http.c
+++ b/src/daemons/entry_http.c
@@ -1,6 +1,7 @@
 #include "daemons/entry_http.h"
 
 #include <arpa/inet.h>
+#include <microhttpd.h>
 #include <string.h>
 #include <ulfius.h>
 
@@ -15,6 +16,12 @@
 #define CALLER_TEXT_MAX_BYTES 1024
 /* The loop answers at the deadline; this only guards against a fault in the loop. */
 #define ANSWER_GRACE_US (5 * JD_US_PER_S)
+/* Longest path and header fields of a request. */
+#define HEAD_MAX_BYTES ((size_t)32 * 1024)
+/* The HTTP library answers a head that does not fit its memory with a page of its own. A
+ * connection's memory is only touched as far as it is used, so it is well above the limit
+ * that gets a numbered error. */
+#define CONNECTION_MEMORY_BYTES ((intptr_t)1024 * 1024)
 #define SERVICES_PREFIX "/v1/services"
 
 struct jd_entry_http
@@ -197,6 +204,17 @@
          http_request->binary_body_length > http->options.body_limit_bytes;
 }
 
+/* Returns whether the path and header fields are longer than allowed. */
+static gboolean
+has_large_head (const struct _u_request *http_request)
+{
+  const struct _u_map *fields = http_request->map_header;
+  size_t size = strlen (http_request->http_url);
+  for (int i = 0; i < fields->nb_values; i++)
+    size += strlen (fields->keys[i]) + fields->lengths[i];
+  return size > HEAD_MAX_BYTES;
+}
+
 /* Checks a request in the order in which its refusals are useful to the caller. */
 static void
 serve_checked (jd_entry_http_t *http, const struct _u_request *http_request,
@@ -204,6 +222,8 @@
                gboolean is_search)
 {
   jd_result_code_t code = classify (http_request, is_search, &request->kind);
+  if (code == JD_OK && has_large_head (http_request))
+    code = JD_HEADERS_TOO_LARGE;
   if (code == JD_OK && g_atomic_int_get (&http->refusing))
     code = JD_SHUTTING_DOWN;
   if (code == JD_OK && strstr (http_request->http_url, "%00"))
@@ -262,7 +282,8 @@
             void *context)
 {
   jd_caller_request_t *request = jd_caller_request_new ();
-  refuse (context, response, request, JD_UNKNOWN_ROUTE, NULL);
+  refuse (context, response, request,
+          has_large_head (http_request) ? JD_HEADERS_TOO_LARGE : JD_UNKNOWN_ROUTE, NULL);
   jd_caller_request_unref (request);
   return U_CALLBACK_COMPLETE;
 }
@@ -347,6 +368,23 @@
   ulfius_set_default_endpoint (instance, on_unknown, http);
 }
 
+/* Starts ulfius as it would start itself, but with more memory for a connection. */
+static gboolean
+start_server (jd_entry_http_t *http)
+{
+  struct MHD_OptionItem options[] = {
+    { .option = MHD_OPTION_NOTIFY_COMPLETED, .value = (intptr_t)mhd_request_completed },
+    { .option = MHD_OPTION_URI_LOG_CALLBACK, .value = (intptr_t)ulfius_uri_logger },
+    { .option = MHD_OPTION_SOCK_ADDR, .ptr_value = &http->address },
+    { .option = MHD_OPTION_CONNECTION_MEMORY_LIMIT, .value = CONNECTION_MEMORY_BYTES },
+    { .option = MHD_OPTION_END },
+  };
+  return ulfius_start_framework_with_mhd_options (&http->instance,
+                                                  MHD_USE_THREAD_PER_CONNECTION |
+                                                      MHD_USE_INTERNAL_POLLING_THREAD,
+                                                  options) == U_OK;
+}
+
 /* Starts the HTTP server; returns NULL with an error when the port cannot be bound. */
 jd_entry_http_t *
 jd_entry_http_start (const jd_entry_http_options_t *options, GError **error)
@@ -366,7 +404,7 @@
       http->instance.max_post_body_size = (size_t)options->body_limit_bytes + 1;
       http->instance.allowed_post_processor = U_POST_PROCESS_NONE;
       add_routes (http);
-      ok = ulfius_start_framework (&http->instance) == U_OK;
+      ok = start_server (http);
     }
   if (ok)
     return http;
--- a/test/process/test_fleet.c
+++ b/test/process/test_fleet.c
@@ -102,6 +102,9 @@
   const char *search = "/v1/services/desk/search?q=word";
   const char *edit = "/v1/services/studio/entries/e1";
   char *large = g_strnfill (3145728, 'x');
+  char *padding = g_strnfill (70000, 'x');
+  char *long_header = g_strconcat ("X-Padding: ", padding, NULL);
+  char *long_path = g_strconcat ("/v1/services/desk/search?q=", padding, NULL);
   expect_refusal (entry, "GET", search, NULL, NULL, 401, JD_KEY_MISSING);
   expect_refusal (entry, "GET", search, "X-Api-Key: other", NULL, 401, JD_KEY_UNKNOWN);
   expect_refusal (entry, "DELETE", search, JD_FLEET_KEY, NULL, 405,
@@ -117,6 +120,10 @@
   expect_refusal (entry, "POST", edit, JD_FLEET_KEY, "{\"text\":", 400, JD_BAD_JSON);
   expect_refusal (entry, "POST", edit, JD_FLEET_KEY, "[1]", 400, JD_BAD_JSON);
   expect_refusal (entry, "POST", edit, JD_FLEET_KEY, large, 413, JD_BODY_TOO_LARGE);
+  /* The HTTP library would answer these with a page of its own. */
+  expect_refusal (entry, "GET", search, long_header, NULL, 431, JD_HEADERS_TOO_LARGE);
+  expect_refusal (entry, "GET", "/nothing", long_header, NULL, 431, JD_HEADERS_TOO_LARGE);
+  expect_refusal (entry, "GET", long_path, JD_FLEET_KEY, NULL, 431, JD_HEADERS_TOO_LARGE);
   /* An id that ended at the zero byte would name another entry. */
   expect_refusal (entry, "POST", "/v1/services/studio/entries/a%2Fb%00c", JD_FLEET_KEY,
                   "{\"text\":\"x\"}", 400, JD_BAD_REQUEST);
@@ -124,6 +131,9 @@
                   400, JD_BAD_REQUEST);
   expect_refusal (entry, "GET", "/nothing", JD_FLEET_KEY, NULL, 404, JD_UNKNOWN_ROUTE);
   g_free (large);
+  g_free (padding);
+  g_free (long_header);
+  g_free (long_path);
   jd_fleet_publish (&fleet, "service.desk",
                     "{\"schema_version\":9,\"record_version\":2}");
   jd_fleet_publish (&fleet, "zones", "not JSON");
