feat(daemons): latencies by phase, one operators' page, causes of rejections

A rejected rate had the tenant's name as its cause. Conclusion: phases are connection, target and answer; nothing waits for a rate. request_rejected has cause=beyond_rate and tenant.

--- a/src/daemons/host_defs.h
+++ b/src/daemons/host_defs.h
@@ -43,10 +43,20 @@
   JD_HOST_GROUP_COUNT,
 } jd_host_group_t;
 
+/* Phases of a request. None waits for the rate of its tenant: it is rejected at once. */
+typedef enum jd_host_phase
+{
+  JD_HOST_PHASE_CONNECTION, /* An attempt waits for a connection. */
+  JD_HOST_PHASE_TARGET,     /* From its send to the whole answer of the target. */
+  JD_HOST_PHASE_ANSWER,     /* From the last part that counts to the answer. */
+  JD_HOST_PHASE_COUNT,
+} jd_host_phase_t;
+
 /* Latencies since the start of the process. */
 typedef struct jd_host_metrics
 {
   jd_latency_histogram_t requests[JD_HOST_KIND_COUNT][JD_HOST_GROUP_COUNT];
+  jd_latency_histogram_t phases[JD_HOST_PHASE_COUNT];
   GHashTable *attempts; /* zone of the target -> jd_latency_histogram_t */
 } jd_host_metrics_t;
 
@@ -115,5 +125,7 @@
 void jd_host_metrics_clear (jd_host_metrics_t *metrics);
 void jd_host_metrics_request (jd_host_metrics_t *metrics, const jd_route_t *route,
                               jd_host_end_t end, int64_t elapsed_us);
+void jd_host_metrics_phase (jd_host_metrics_t *metrics, jd_host_phase_t phase,
+                            int64_t elapsed_us);
 void jd_host_metrics_attempt (jd_host_metrics_t *metrics, const char *zone,
                               int64_t elapsed_us);
--- a/src/daemons/host_metrics.c
+++ b/src/daemons/host_metrics.c
@@ -16,6 +16,12 @@
   [JD_HOST_GROUP_FAILED] = "failed",
 };
 
+static const char *const phase_names[JD_HOST_PHASE_COUNT] = {
+  [JD_HOST_PHASE_CONNECTION] = "connection",
+  [JD_HOST_PHASE_TARGET] = "target",
+  [JD_HOST_PHASE_ANSWER] = "answer",
+};
+
 /* Returns the kind under which a route is counted. */
 static jd_host_kind_t
 kind_of (const jd_route_t *route)
@@ -65,6 +71,14 @@
                                elapsed_us);
 }
 
+/* Records the time that a phase of a request took. */
+void
+jd_host_metrics_phase (jd_host_metrics_t *metrics, jd_host_phase_t phase,
+                       int64_t elapsed_us)
+{
+  jd_latency_histogram_record (&metrics->phases[phase], elapsed_us);
+}
+
 /* Records the time that a target of a zone took for a good answer. */
 void
 jd_host_metrics_attempt (jd_host_metrics_t *metrics, const char *zone, int64_t elapsed_us)
@@ -111,6 +125,12 @@
                           &metrics->requests[kind][group]);
         }
     }
+  g_string_append (text, "# TYPE jackdaw_phase_seconds summary\n");
+  for (uint32_t phase = 0; phase < JD_HOST_PHASE_COUNT; phase++)
+    {
+      g_snprintf (labels, sizeof (labels), "phase=\"%s\"", phase_names[phase]);
+      append_latency (text, "jackdaw_phase_seconds", labels, &metrics->phases[phase]);
+    }
   g_string_append (text, "# TYPE jackdaw_attempt_seconds summary\n");
   GHashTableIter iter;
   gpointer zone, histogram;
--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -56,21 +56,33 @@
   return names[outcome];
 }
 
-/* Answers a request before it was admitted. retry_after_us of 0 means none. */
+/* Why a request is not admitted. */
+typedef struct jd_rejection
+{
+  uint32_t status;
+  jd_host_end_t end;
+  const char *cause;
+  const char *tenant;     /* NULL while it is not known. */
+  int64_t retry_after_us; /* 0: none is stated. */
+} jd_rejection_t;
+
+/* Answers a request before it was admitted. */
 static void
 reject (jd_host_t *host, jd_caller_t *caller, const jd_http_reader_t *reader,
-        uint32_t status, jd_host_end_t end, const char *cause, int64_t retry_after_us)
+        const jd_rejection_t *rejection)
 {
   const char *id = jd_http_reader_value (reader, host->platform.fields.request_id);
-  jd_counter_add (host->ends[end], 1);
-  jd_log_event (G_LOG_LEVEL_INFO, "request_rejected",
-                "id=%s status=%u cause=%s retry_after_ms=%" G_GINT64_FORMAT
-                " config=%" G_GINT64_FORMAT " config_age_ms=%" G_GINT64_FORMAT,
-                id ? id : "-", status, cause, retry_after_us / JD_US_PER_MS,
-                host->routes ? host->routes->version : 0,
-                (jd_monotonic_us () - jd_record_feed_as_of_us (host->feed)) /
-                    JD_US_PER_MS);
-  jd_caller_answer_status (caller, status, MIN (retry_after_us, RETRY_MAX_US));
+  jd_counter_add (host->ends[rejection->end], 1);
+  jd_log_event (
+      G_LOG_LEVEL_INFO, "request_rejected",
+      "id=%s status=%u cause=%s tenant=%s retry_after_ms=%" G_GINT64_FORMAT
+      " config=%" G_GINT64_FORMAT " config_age_ms=%" G_GINT64_FORMAT,
+      id ? id : "-", rejection->status, rejection->cause,
+      rejection->tenant ? rejection->tenant : "-",
+      rejection->retry_after_us / JD_US_PER_MS, host->routes ? host->routes->version : 0,
+      (jd_monotonic_us () - jd_record_feed_as_of_us (host->feed)) / JD_US_PER_MS);
+  jd_caller_answer_status (caller, rejection->status,
+                           MIN (rejection->retry_after_us, RETRY_MAX_US));
 }
 
 /* Rejects a request of a tenant that asks for more than its rate. */
@@ -85,7 +97,12 @@
                 "demand_per_s=%.2f others_per_s=%.2f hosts=%u",
                 id ? id : "-", tenant, view.rate_per_s, view.level, view.local_level,
                 view.demand_per_s, view.others_per_s, host->hosts);
-  reject (host, caller, reader, 429, JD_HOST_END_RATE_LIMITED, tenant, retry_after_us);
+  reject (host, caller, reader,
+          &(jd_rejection_t){ .status = 429,
+                             .end = JD_HOST_END_RATE_LIMITED,
+                             .cause = "beyond_rate",
+                             .tenant = tenant,
+                             .retry_after_us = retry_after_us });
 }
 
 /* Frees a request that has ended. */
@@ -247,9 +264,12 @@
 on_finish (void *context, jd_fanout_verdict_t verdict)
 {
   jd_request_t *request = context;
+  int64_t begin_us = jd_monotonic_us ();
   jd_caller_set_data (request->caller, NULL);
   withdraw_attempts (request);
   answer (request, verdict);
+  jd_host_metrics_phase (&request->host->latencies, JD_HOST_PHASE_ANSWER,
+                         jd_monotonic_us () - begin_us);
 }
 
 /* Sets the timer to the next time at which the fanout has to decide. Frees a request
@@ -330,6 +350,9 @@
   if (outcome == JD_REPLICA_OK)
     {
       jd_route_latency_record (request->route->latency, result->elapsed_us);
+      jd_host_metrics_phase (&host->latencies, JD_HOST_PHASE_CONNECTION,
+                             result->waited_us);
+      jd_host_metrics_phase (&host->latencies, JD_HOST_PHASE_TARGET, result->elapsed_us);
       jd_host_metrics_attempt (&host->latencies, replica->zone, result->elapsed_us);
     }
   else
@@ -472,13 +495,18 @@
   if (!host_name || jd_http_reader_count (reader, "Host") != 1 || !id || *id == '\0' ||
       reader->parser.method == HTTP_CONNECT)
     {
-      reject (host, caller, reader, 400, JD_HOST_END_REJECTED, "bad_request", 0);
+      reject (host, caller, reader,
+              &(jd_rejection_t){
+                  .status = 400, .end = JD_HOST_END_REJECTED, .cause = "bad_request" });
       return;
     }
   if (!host->routes)
     {
-      reject (host, caller, reader, 503, JD_HOST_END_NOT_RUN, "no_configuration",
-              RETRY_UNREADY_US);
+      reject (host, caller, reader,
+              &(jd_rejection_t){ .status = 503,
+                                 .end = JD_HOST_END_NOT_RUN,
+                                 .cause = "no_configuration",
+                                 .retry_after_us = RETRY_UNREADY_US });
       return;
     }
   size_t path_len = strcspn (reader->text->str, "?");
@@ -486,20 +514,27 @@
       host->routes, host_name, reader->text->str, MIN (path_len, reader->target_len));
   if (!route)
     {
-      reject (host, caller, reader, 404, JD_HOST_END_REJECTED, "no_route", 0);
+      reject (host, caller, reader,
+              &(jd_rejection_t){
+                  .status = 404, .end = JD_HOST_END_REJECTED, .cause = "no_route" });
       return;
     }
   route->latency->recent += 1.0;
   const jd_tenant_t *tenant = find_tenant (host, reader);
   if (!tenant && host->routes->has_tenants && !route->open)
     {
-      reject (host, caller, reader, 401, JD_HOST_END_REJECTED, "unknown_key", 0);
+      reject (host, caller, reader,
+              &(jd_rejection_t){
+                  .status = 401, .end = JD_HOST_END_REJECTED, .cause = "unknown_key" });
       return;
     }
   if (host->requests.length >= host->max_requests)
     {
-      reject (host, caller, reader, 503, JD_HOST_END_OVERLOADED, "too_many_requests",
-              RETRY_SOON_US);
+      reject (host, caller, reader,
+              &(jd_rejection_t){ .status = 503,
+                                 .end = JD_HOST_END_OVERLOADED,
+                                 .cause = "too_many_requests",
+                                 .retry_after_us = RETRY_SOON_US });
       return;
     }
   int64_t retry_after_us = 0;
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -83,6 +83,7 @@
   GList node;                  /* In link->waiting. */
   jd_outgoing_t *outgoing;
   jd_exchange_owner_t owner; /* on_done is NULL once cancelled. */
+  int64_t queued_us;
   int64_t sent_us;
   int64_t usual_us;
   int64_t linger_until_us; /* 0 while it is wanted. */
@@ -483,6 +484,7 @@
     .arrived = true,
     .reply = &connection->reader,
     .elapsed_us = now_us - exchange->sent_us,
+    .waited_us = exchange->sent_us - exchange->queued_us,
   };
   classify (&link->links->options.fields, &connection->reader, &result);
   take_idle_limit (connection);
@@ -653,6 +655,7 @@
   exchange->owner = *owner;
   exchange->usual_us = usual_us;
   int64_t now_us = jd_monotonic_us ();
+  exchange->queued_us = now_us;
   if (replica->cold_until_us > now_us)
     replica->cold_tokens -= 1.0;
   jd_connection_t *idle = find_idle (link, now_us);
--- a/src/transport/replica_links.h
+++ b/src/transport/replica_links.h
@@ -40,6 +40,7 @@
   bool arrived;      /* Bytes of the request were sent. */
   const jd_http_reader_t *reply; /* NULL without a whole answer. */
   int64_t elapsed_us;            /* Since it was sent. */
+  int64_t waited_us;             /* For a connection; set with a whole answer. */
 } jd_exchange_result_t;
 
 typedef struct jd_exchange_owner
--- a/test/process/test_host.c
+++ b/test/process/test_host.c
@@ -392,6 +392,9 @@
   static const char *const expected[] = {
     "jackdaw_request_seconds_count{kind=\"search\",end=\"served\"} 3\n",
     "jackdaw_requests_total{end=\"served\"} 3\n",
+    "jackdaw_phase_seconds{phase=\"connection\",quantile=\"0.99\"} ",
+    "jackdaw_phase_seconds_count{phase=\"target\"} 1", /* 12 or more. */
+    "jackdaw_phase_seconds_count{phase=\"answer\"} 3\n",
     "jackdaw_attempt_seconds{zone=\"a\",quantile=\"0.99\"} ",
     "jackdaw_log_lines_lost_total 0\n",
     "jackdaw_removals_held 0\n",
--- a/test/process/test_operators_page.c
+++ b/test/process/test_operators_page.c
@@ -4,6 +4,8 @@
 
 #include "support/test_main.h"
 
+#define PAGE "docs/OPERATIONS.md"
+
 /* Returns the output of a program's --help; free with g_free. */
 static char *
 help_of (const char *program)
@@ -21,14 +23,14 @@
   return g_string_free (text, FALSE);
 }
 
-/* Guards against settings that docs/operators.md does not list. Runs from the source
+/* Guards against settings that the operators' page does not list. Runs from the source
  * folder. */
 static void
 every_setting_is_listed (void)
 {
   const char *const programs[] = { "jackdaw-entry", "jackdaw-broker" };
   char *page = NULL;
-  CU_ASSERT_FATAL (g_file_get_contents ("docs/operators.md", &page, NULL, NULL));
+  CU_ASSERT_FATAL (g_file_get_contents (PAGE, &page, NULL, NULL));
   uint32_t flags = 0;
   for (size_t i = 0; i < G_N_ELEMENTS (programs); i++)
     {
@@ -52,11 +54,89 @@
   g_free (page);
 }
 
+/* Counts the names in a text that a pattern finds, and checks that the page has each. */
+static uint32_t
+check_names (const char *page, const char *path, const char *text, const char *pattern)
+{
+  uint32_t count = 0;
+  GMatchInfo *match = NULL;
+  GRegex *regex = g_regex_new (pattern, 0, 0, NULL);
+  CU_ASSERT_FATAL (regex != NULL);
+  g_regex_match (regex, text, 0, &match);
+  while (g_match_info_matches (match))
+    {
+      char *name = g_match_info_fetch (match, 1);
+      char *listed = g_strdup_printf ("`%s`", name);
+      char *with_labels = g_strdup_printf ("`%s{", name);
+      gboolean is_listed = strstr (page, listed) || strstr (page, with_labels);
+      if (!is_listed)
+        printf ("%s of %s is not listed ", name, path);
+      CU_ASSERT (is_listed);
+      g_free (listed);
+      g_free (with_labels);
+      g_free (name);
+      count++;
+      g_match_info_next (match, NULL);
+    }
+  g_match_info_free (match);
+  g_regex_unref (regex);
+  return count;
+}
+
+/* Checks the names that a pattern finds in the sources of a folder. */
+static uint32_t
+check_folder (const char *page, const char *folder, const char *pattern)
+{
+  uint32_t count = 0;
+  const char *name;
+  GDir *dir = g_dir_open (folder, 0, NULL);
+  CU_ASSERT_FATAL (dir != NULL);
+  while ((name = g_dir_read_name (dir)))
+    {
+      char *path = g_build_filename (folder, name, NULL);
+      char *text = NULL;
+      if (g_str_has_suffix (name, ".c") && g_file_get_contents (path, &text, NULL, NULL))
+        count += check_names (page, path, text, pattern);
+      g_free (text);
+      g_free (path);
+    }
+  g_dir_close (dir);
+  return count;
+}
+
+/* Checks the names that a pattern finds in all sources. */
+static uint32_t
+check_sources (const char *page, const char *pattern)
+{
+  static const char *const folders[] = {
+    "platform",       "src/base",   "src/cli",       "src/config",  "src/daemons",
+    "src/membership", "src/limits", "src/transport", "src/routing",
+  };
+  uint32_t count = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (folders); i++)
+    count += check_folder (page, folders[i], pattern);
+  return count;
+}
+
+/* Guards against log events and metrics that an operator cannot look up. */
+static void
+every_event_and_metric_is_listed (void)
+{
+  char *page = NULL;
+  CU_ASSERT_FATAL (g_file_get_contents (PAGE, &page, NULL, NULL));
+  /* A pattern that finds nothing would check nothing. */
+  CU_ASSERT (check_sources (page, "jd_log_event\\s*\\([^,]+,\\s*\"([a-z_]+)\"") > 0);
+  CU_ASSERT (check_sources (page, "\\bevent=([a-z_]+)") > 0);
+  CU_ASSERT (check_sources (page, "\\b(jackdaw_[a-z_]*[a-z])\\b") > 0);
+  g_free (page);
+}
+
 int
 main (void)
 {
   const jd_test_case_t cases[] = {
     { "every setting is listed", every_setting_is_listed },
+    { "every event and metric is listed", every_event_and_metric_is_listed },
   };
   return JD_TEST_RUN ("operators_page", cases);
 }
