fix(routing): let hosts take turns at a cold target

Cause: a target that was just seen had a time of last refill of 0, so the first refill gave every host a whole request: 230 hosts sent a cold target up to 230 requests in a moment where it bears 20. What hosts left unused also added up to the rate and the slack, twice the bound with the next second's requests. Ruled out: wrong numbers of hosts (all had heard 230), and requests sent before the cold state was known (host-76 had seen the target 2.3 s before). Conclusion: routing/cold_share: hosts begin at different places between two grants, and a grant lapses after the time in which the slack is granted.

--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -74,24 +74,25 @@
   host->extra_shares = jd_extra_shares (&slack);
 }
 
-/* Refills what a cold replica may get. */
+/* Registry visitor: updates this host's share of what a cold replica bears. */
 static void
-refill_replica (void *context, jd_replica_t *replica)
+update_cold_share (void *context, jd_replica_t *replica)
 {
-  jd_host_t *host = context;
-  jd_replica_pool_t *pool = replica->pool;
+  const jd_host_t *host = context;
+  const jd_replica_pool_t *pool = replica->pool;
   int64_t now_us = jd_monotonic_us ();
   if (replica->cold_until_us <= now_us || pool->cold_per_s <= 0.0)
     {
-      replica->cold_refill_us = now_us;
+      jd_cold_share_stop (&replica->cold);
       return;
     }
-  double elapsed_s = (double)(now_us - replica->cold_refill_us) / (double)JD_US_PER_S;
-  double share = 1.0 / (double)host->hosts;
-  double most = MAX ((pool->cold_per_s + (double)host->cold_slack) * share, 1.0);
-  replica->cold_refill_us = now_us;
-  replica->cold_tokens =
-      MIN (replica->cold_tokens + pool->cold_per_s * share * elapsed_s, most);
+  jd_cold_terms_t terms = {
+    .per_s = pool->cold_per_s,
+    .slack = host->cold_slack,
+    .hosts = host->hosts,
+    .turn = host->rank + replica->id_hash % host->hosts,
+  };
+  jd_cold_share_update (&replica->cold, &terms, now_us);
 }
 
 /* Decides whether this host reaches enough targets to take requests. One that is cut off
@@ -124,7 +125,7 @@
   apply_hosts (host, now_us);
   update_extra_shares (host, now_us);
   jd_replica_registry_each_pool (host->registry, refill_pool, host);
-  jd_replica_registry_each (host->registry, refill_replica, host);
+  jd_replica_registry_each (host->registry, update_cold_share, host);
   update_reach (host, now_us);
   jd_record_feed_release_removals (host->feed, now_us);
 }
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "routing/cold_share.h"
 #include "routing/extra_pool.h"
 #include "routing/hedge_budget.h"
 
@@ -74,8 +75,7 @@
   uint32_t reported_busy; /* Running and waiting requests that it reported. */
   uint32_t own_at_report; /* Attempts of this host among them. */
   int64_t reported_at_us;
-  double cold_tokens; /* Requests that it may get while cold. */
-  int64_t cold_refill_us;
+  jd_cold_share_t cold; /* Requests that this host may send it while it is cold. */
   void *link; /* Connections; owned by the transport. */
 } jd_replica_t;
 
--- a/src/routing/replica_choice.c
+++ b/src/routing/replica_choice.c
@@ -80,12 +80,12 @@
   return false;
 }
 
-/* TRUE when a cold replica has had what it bears; see jd_replica_pool_t.cold_per_s. */
+/* TRUE when a cold replica gets nothing more from this host for now. */
 static bool
 is_cold_and_full (const jd_replica_t *replica, int64_t now_us)
 {
   return replica->cold_until_us > now_us && replica->pool->cold_per_s > 0.0 &&
-         replica->cold_tokens < 1.0;
+         !jd_cold_share_allows (&replica->cold, now_us);
 }
 
 /* Returns the cheapest untried replica among those in use or, with ejected, among those
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -657,7 +657,7 @@
   int64_t now_us = jd_monotonic_us ();
   exchange->queued_us = now_us;
   if (replica->cold_until_us > now_us)
-    replica->cold_tokens -= 1.0;
+    jd_cold_share_use (&replica->cold, now_us);
   jd_connection_t *idle = find_idle (link, now_us);
   if (idle && link->waiting.length == 0)
     {
--- a/test/soak/soak_checks.c
+++ b/test/soak/soak_checks.c
@@ -6,12 +6,24 @@
 #include "base/clock.h"
 #include "soak/soak.h"
 
+/* Returns the call that a request id names, or NULL. */
+static jd_soak_call_t *
+find_call (const jd_soak_t *soak, const char *id)
+{
+  guint number = 0;
+  if (sscanf (id, "soak-%u-", &number) != 1 || number >= soak->calls->len)
+    return NULL;
+  return soak->calls->pdata[number];
+}
+
 /* Reports a broken promise. */
 void
 jd_soak_violate (jd_soak_t *soak, const char *rule, const char *id, const char *detail)
 {
+  const jd_soak_call_t *call = find_call (soak, id);
   soak->violations++;
-  printf ("violation rule=%s id=%s at_ms=%" G_GINT64_FORMAT " %s\n", rule, id,
+  printf ("violation rule=%s id=%s host=%d at_ms=%" G_GINT64_FORMAT " %s\n", rule, id,
+          call ? (int)call->host : -1,
           (jd_monotonic_us () - soak->start_us) / JD_US_PER_MS, detail);
 }
 
@@ -42,16 +54,6 @@
   return now_us - window->times_us[first] < length_us;
 }
 
-/* Returns the call that a request id names, or NULL. */
-static jd_soak_call_t *
-find_call (const jd_soak_t *soak, const char *id)
-{
-  guint number = 0;
-  if (sscanf (id, "soak-%u-", &number) != 1 || number >= soak->calls->len)
-    return NULL;
-  return soak->calls->pdata[number];
-}
-
 /* Checks the rate of the tenant that has one, over all targets and hosts. */
 static void
 check_rate (jd_soak_t *soak, jd_soak_call_t *call, int64_t now_us)
--- a/test/unit/test_replica_choice.c
+++ b/test/unit/test_replica_choice.c
@@ -162,15 +162,18 @@
 
 /* Guards against a cold target that gets more than it bears. */
 static void
-cold_target_gets_its_tokens_only (void)
+cold_target_gets_its_share_only (void)
 {
   jd_replica_registry_t *registry = new_registry ();
   jd_replica_t *replica = put (registry, "n", "a", 1);
   replica->pool->cold_per_s = 4.0;
   replica->cold_until_us = NOW + JD_US_PER_S;
   CU_ASSERT_PTR_NULL (choose (registry, NULL));
-  replica->cold_tokens = 1.0;
+  jd_cold_terms_t terms = { .per_s = 4.0, .slack = 2.0, .hosts = 1, .turn = 0 };
+  jd_cold_share_update (&replica->cold, &terms, NOW - 300 * JD_US_PER_MS);
   CU_ASSERT_PTR_EQUAL (choose (registry, NULL), replica);
+  jd_cold_share_use (&replica->cold, NOW);
+  CU_ASSERT_PTR_NULL (choose (registry, NULL));
   jd_replica_registry_free (registry);
 }
 
@@ -183,7 +186,7 @@
     { "leaving targets get nothing", leaving_targets_get_nothing },
     { "restarted target starts anew", restarted_target_starts_anew },
     { "failing target is left out", failing_target_is_left_out_for_a_while },
-    { "cold target", cold_target_gets_its_tokens_only },
+    { "cold target", cold_target_gets_its_share_only },
   };
   return JD_TEST_RUN ("replica_choice", cases);
 }
