refactor(test): share damage and checks; one loop counts heard hosts

Cause: three tests wrote the same damage of bytes, two cases of fleet_quota the same check, and peer_table the same loop three times. Ruled out: one walk for extra_reports and target_hints; their records differ.

--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -108,53 +108,44 @@
   return peer->heard_us > 0 && now_us - peer->heard_us <= LIVE_US;
 }
 
-/* TRUE while a host has to be counted for shares of limits. */
-static bool
-is_counted (const jd_peer_t *peer, int64_t now_us)
+/* Returns the number of other hosts that were heard within a time and have an address
+ * up to some one. */
+static uint32_t
+count_heard (const jd_peer_table_t *table, int64_t within_us, uint32_t last_ip,
+             int64_t now_us)
 {
-  return peer->heard_us > 0 && now_us - peer->heard_us <= COUNTED_US;
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, table->by_ip);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const jd_peer_t *peer = value;
+      count += peer->heard_us > 0 && now_us - peer->heard_us <= within_us &&
+               peer->state.ip <= last_ip;
+    }
+  return count;
 }
 
 /* Returns the number of hosts that may be serving, this one included. */
 uint32_t
 jd_peer_table_hosts (const jd_peer_table_t *table, int64_t now_us)
 {
-  uint32_t count = 1;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, table->by_ip);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    count += is_counted (value, now_us);
-  return count;
+  return 1 + count_heard (table, COUNTED_US, UINT32_MAX, now_us);
 }
 
 /* Returns the place of this host among those counted, ordered by address. */
 uint32_t
 jd_peer_table_rank (const jd_peer_table_t *table, int64_t now_us)
 {
-  uint32_t rank = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, table->by_ip);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const jd_peer_t *peer = value;
-      rank += is_counted (peer, now_us) && peer->state.ip < table->own_ip;
-    }
-  return rank;
+  return count_heard (table, COUNTED_US, table->own_ip, now_us);
 }
 
 /* Returns the number of other hosts that are heard. */
 uint32_t
 jd_peer_table_live_count (const jd_peer_table_t *table, int64_t now_us)
 {
-  uint32_t count = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, table->by_ip);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    count += is_live (value, now_us);
-  return count;
+  return count_heard (table, LIVE_US, UINT32_MAX, now_us);
 }
 
 /* Lists the addresses of live hosts; returns their number. */
--- /dev/null
+++ b/test/support/damage.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/rng.h"
+
+uint64_t jd_damage_rounds (uint64_t usual);
+void jd_damage_bytes (char *data, size_t size, uint64_t changes, const char *alphabet,
+                      const jd_rng_t *rng);
--- a/test/unit/test_fleet_quota.c
+++ b/test/unit/test_fleet_quota.c
@@ -162,6 +162,17 @@
     }
 }
 
+/* Checks that of all requests of a tenant within its rate one in a hundred is refused at
+ * most. */
+static void
+check_passed (const jd_quota_fleet_t *fleet, uint64_t seed)
+{
+  CU_ASSERT_TRUE (fleet->passed * 100 >= fleet->asked * 99);
+  if (fleet->passed * 100 < fleet->asked * 99)
+    fprintf (stderr, "hosts %u seed %d: %u of %u passed\n", fleet->count, (int)seed,
+             fleet->passed, fleet->asked);
+}
+
 /* Guards against requests that are refused although their tenant is within its rate: of a
  * tenant that uses 6 tenths of it, evenly, none but one in a hundred. */
 static void
@@ -178,10 +189,7 @@
                                  .report_steps = 25 + hosts[f] / 2 };
       start_hosts (&fleet, true, 1);
       play (&fleet, &rng, 0, 3000, 12.5);
-      CU_ASSERT_TRUE (fleet.passed * 100 >= fleet.asked * 99);
-      if (fleet.passed * 100 < fleet.asked * 99)
-        fprintf (stderr, "hosts %u: %u of %u passed\n", hosts[f], fleet.passed,
-                 fleet.asked);
+      check_passed (&fleet, state.seed);
       clear (&fleet);
     }
 }
@@ -206,10 +214,7 @@
       play (&fleet, &rng, 1500, 2100, 9.5);
       fleet.cut_hosts = 0;
       play (&fleet, &rng, 2100, 2600, 9.5);
-      CU_ASSERT_TRUE (fleet.passed * 100 >= fleet.asked * 99);
-      if (fleet.passed * 100 < fleet.asked * 99)
-        fprintf (stderr, "seed %d: %u of %u passed\n", (int)seed, fleet.passed,
-                 fleet.asked);
+      check_passed (&fleet, seed);
       clear (&fleet);
     }
 }
--- a/test/unit/test_http_reader.c
+++ b/test/unit/test_http_reader.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/rng.h"
+#include "support/damage.h"
 #include "support/test_main.h"
 
 #define HEAD_LIMIT 4096
@@ -116,15 +117,12 @@
 {
   jd_philox_t state = { .seed = 11 };
   jd_rng_t rng = jd_philox_rng (&state);
-  const char *rounds_text = g_getenv ("JACKDAW_FUZZ_ROUNDS");
-  uint64_t rounds = rounds_text ? g_ascii_strtoull (rounds_text, NULL, 10) : 20000;
+  uint64_t rounds = jd_damage_rounds (20000);
   char text[sizeof (request_text)];
   for (uint64_t round = 0; round < rounds; round++)
     {
       memcpy (text, request_text, sizeof (text));
-      uint64_t changes = 1 + jd_rng_below (&rng, 6);
-      for (uint64_t i = 0; i < changes; i++)
-        text[jd_rng_below (&rng, sizeof (text) - 1)] = (char)jd_rng_below (&rng, 256);
+      jd_damage_bytes (text, sizeof (text) - 1, 1 + jd_rng_below (&rng, 6), NULL, &rng);
       jd_http_reader_t reader;
       size_t used = 0;
       enum http_parser_type type = round % 2 ? HTTP_REQUEST : HTTP_RESPONSE;
--- a/test/unit/test_peer_gossip.c
+++ b/test/unit/test_peer_gossip.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/rng.h"
+#include "support/damage.h"
 #include "support/free_port.h"
 #include "support/test_main.h"
 #include "transport/socket_address.h"
@@ -199,8 +200,7 @@
 damage (char *datagram, const char *message, size_t size, const jd_rng_t *rng)
 {
   memcpy (datagram, message, size);
-  for (uint64_t k = jd_rng_below (rng, 6); k > 0; k--)
-    datagram[jd_rng_below (rng, size)] = (char)jd_rng_below (rng, 256);
+  jd_damage_bytes (datagram, size, jd_rng_below (rng, 6), NULL, rng);
   return jd_rng_below (rng, 4) ? size : jd_rng_below (rng, size);
 }
 
@@ -210,8 +210,7 @@
 static void
 damaged_datagrams_are_survived (void)
 {
-  const char *rounds_text = g_getenv ("JACKDAW_FUZZ_ROUNDS");
-  uint64_t rounds = rounds_text ? g_ascii_strtoull (rounds_text, NULL, 10) : 20000;
+  uint64_t rounds = jd_damage_rounds (20000);
   struct ev_loop *loop = ev_loop_new (0);
   uint16_t port = jd_test_free_port ();
   jd_philox_t state = { .seed = 11 };
--- a/test/unit/test_published_records.c
+++ b/test/unit/test_published_records.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/rng.h"
+#include "support/damage.h"
 #include "support/test_main.h"
 
 static const char good_config[] =
@@ -103,15 +104,13 @@
 {
   jd_philox_t state = { .seed = 21 };
   jd_rng_t rng = jd_philox_rng (&state);
-  const char *rounds_text = g_getenv ("JACKDAW_FUZZ_ROUNDS");
-  uint64_t rounds = rounds_text ? g_ascii_strtoull (rounds_text, NULL, 10) : 3000;
+  uint64_t rounds = jd_damage_rounds (3000);
   char text[sizeof (good_config)];
   for (uint64_t round = 0; round < rounds; round++)
     {
       memcpy (text, good_config, sizeof (text));
-      for (uint64_t i = jd_rng_below (&rng, 4); i < 4; i++)
-        text[jd_rng_below (&rng, sizeof (text) - 1)] =
-            "0123456789{}[]\",:truefalsn-eE.\\ "[jd_rng_below (&rng, 32)];
+      jd_damage_bytes (text, sizeof (text) - 1, 1 + jd_rng_below (&rng, 4),
+                       "0123456789{}[]\",:truefalsn-eE.\\ ", &rng);
       jd_replica_registry_t *registry = new_registry ();
       GError *error = NULL;
       jd_route_table_t *table =
