--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build asan test soak demo bench capacity lint format clean
+.PHONY: all deps build asan test soak demo bench report capacity lint format clean
 
 all: build
 
@@ -32,6 +32,11 @@
 bench: build
 	scripts/bench $(BUILD)
 
+# What callers get over time, in today's way of choosing targets and in others.
+SEED ?= 1
+report: build
+	scripts/report $(BUILD) $(SEED)
+
 capacity: build
 	scripts/capacity $(BUILD)
 
--- a/bench/bench_report.c
+++ b/bench/bench_report.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 
 #include "config/settings.h"
-#include "report/scenario.h"
+#include "support/load_scenario.h"
 #include "report/series.h"
 
 /* Plays a load against today's choice of targets and what it was weighed against, with
@@ -83,7 +83,7 @@
     return outcome == JD_SETTINGS_EXIT_OK ? EXIT_SUCCESS : EXIT_FAILURE;
   jd_search_load_t scenario;
   GError *error = NULL;
-  if (!report_scenario_load (settings[0].text, &scenario, &error))
+  if (!jd_load_scenario_read (settings[0].text, &scenario, &error))
     {
       g_printerr ("%s: %s\n", settings[0].text, error->message);
       g_clear_error (&error);
--- a/bench/report/scenario.c
+++ b/test/support/load_scenario.c
@@ -1,27 +1,27 @@
-#include "report/scenario.h"
+#include "support/load_scenario.h"
 
 #include <stddef.h>
 #include <stdlib.h>
 
 #include "config/settings.h"
 
-typedef enum field_kind
+typedef enum jd_field_kind
 {
   FIELD_COUNT, /* uint32_t */
   FIELD_REAL,  /* double */
-} field_kind_t;
+} jd_field_kind_t;
 
 /* One key of a scenario: where its value goes and what is accepted. */
-typedef struct field
+typedef struct jd_field
 {
   const char *group;
   const char *key;
-  field_kind_t kind;
+  jd_field_kind_t kind;
   size_t offset;
   double fallback; /* Below 0: the key is required. */
   double min;
   double max;
-} field_t;
+} jd_field_t;
 
 #define COUNT(group, key, member, fallback, min, max)                                    \
   {                                                                                      \
@@ -32,7 +32,7 @@
     group, key, FIELD_REAL, offsetof (jd_search_load_t, member), fallback, min, max      \
   }
 
-static const field_t fields[] = {
+static const jd_field_t fields[] = {
   COUNT ("tier", "hosts", hosts, 1, 1, 32),
   COUNT ("tier", "shards", shards, -1, 1, 135),
   COUNT ("tier", "replicas", replicas, -1, 1, 4),
@@ -66,18 +66,18 @@
   REAL ("trouble", "fail-share", fail_share, 0, 0, 1),
 };
 
-/* Returns FALSE with an error at a key that no field has. */
-static gboolean
+/* Returns false with an error at a key that no field has. */
+static bool
 check_keys (GKeyFile *file, GError **error)
 {
   char **groups = g_key_file_get_groups (file, NULL);
-  gboolean ok = TRUE;
+  bool ok = true;
   for (char **group = groups; *group && ok; group++)
     {
       char **keys = g_key_file_get_keys (file, *group, NULL, NULL);
       for (char **key = keys; key && *key && ok; key++)
         {
-          ok = FALSE;
+          ok = false;
           for (size_t i = 0; i < G_N_ELEMENTS (fields) && !ok; i++)
             ok = g_strcmp0 (fields[i].group, *group) == 0 &&
                  g_strcmp0 (fields[i].key, *key) == 0;
@@ -91,23 +91,24 @@
   return ok;
 }
 
-/* Reads one field; FALSE with an error when it is missing or out of range. */
-static gboolean
-read_field (GKeyFile *file, const field_t *field, jd_search_load_t *load, GError **error)
+/* Reads one field; false with an error when it is missing or out of range. */
+static bool
+read_field (GKeyFile *file, const jd_field_t *field, jd_search_load_t *load,
+            GError **error)
 {
   char *text = g_key_file_get_string (file, field->group, field->key, NULL);
   char *end = NULL;
   double value = text ? g_ascii_strtod (text, &end) : field->fallback;
-  gboolean whole = field->kind == FIELD_REAL || value == (double)(guint32)value;
-  gboolean ok = value >= field->min && value <= field->max && whole &&
-                (!text || (end != text && *end == '\0'));
+  bool whole = field->kind == FIELD_REAL || value == (double)(uint32_t)value;
+  bool ok = value >= field->min && value <= field->max && whole &&
+            (!text || (end != text && *end == '\0'));
   if (!ok)
     g_set_error (error, JD_SETTINGS_ERROR, 0,
                  "[%s] %s=\"%s\": expected a %snumber from %g to %g", field->group,
                  field->key, text ? text : "", field->kind == FIELD_COUNT ? "whole " : "",
                  field->min, field->max);
   else if (field->kind == FIELD_COUNT)
-    G_STRUCT_MEMBER (guint32, load, field->offset) = (guint32)value;
+    G_STRUCT_MEMBER (uint32_t, load, field->offset) = (uint32_t)value;
   else
     G_STRUCT_MEMBER (double, load, field->offset) = value;
   g_free (text);
@@ -115,24 +116,24 @@
 }
 
 /* Reads a load from a file. */
-gboolean
-report_scenario_load (const char *path, jd_search_load_t *load, GError **error)
+bool
+jd_load_scenario_read (const char *path, jd_search_load_t *load, GError **error)
 {
   GKeyFile *file = g_key_file_new ();
-  gboolean ok = g_key_file_load_from_file (file, path, G_KEY_FILE_NONE, error) &&
-                check_keys (file, error);
+  bool ok = g_key_file_load_from_file (file, path, G_KEY_FILE_NONE, error) &&
+            check_keys (file, error);
   *load = (jd_search_load_t){ 0 };
   for (size_t i = 0; i < G_N_ELEMENTS (fields) && ok; i++)
     ok = read_field (file, &fields[i], load, error);
   if (ok && load->pause_ms > 0 && load->pause_every_ms <= load->pause_ms)
     {
-      ok = FALSE;
+      ok = false;
       g_set_error (error, JD_SETTINGS_ERROR, 0,
                    "[trouble] pause-every-ms must be above pause-ms");
     }
   if (ok && load->deadline_ms < load->objective_ms)
     {
-      ok = FALSE;
+      ok = false;
       g_set_error (error, JD_SETTINGS_ERROR, 0,
                    "[search] deadline-ms must not be below objective-ms");
     }
--- /dev/null
+++ b/test/unit/test_load_scenario.c
@@ -0,0 +1,105 @@
+#include "support/load_scenario.h"
+
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "support/test_main.h"
+
+#define GOOD                                                                             \
+  "[tier]\nshards=20\nreplicas=2\n[search]\nwork-ms=15\nobjective-ms=120\n"              \
+  "deadline-ms=800\n[callers]\nsearches-per-s=90\nduration-ms=8000\n"
+
+/* Reads a scenario from a text; returns the error's message, NULL without one. Free with
+ * g_free. */
+static char *
+read_text (const char *text, jd_search_load_t *load)
+{
+  char *path = g_build_filename (g_get_tmp_dir (), "jackdaw-scenario-XXXXXX", NULL);
+  int fd = g_mkstemp (path);
+  CU_ASSERT_TRUE_FATAL (fd >= 0);
+  g_close (fd, NULL);
+  g_file_set_contents (path, text, -1, NULL);
+  GError *error = NULL;
+  bool ok = jd_load_scenario_read (path, load, &error);
+  CU_ASSERT_TRUE (ok == (error == NULL));
+  char *message = error ? g_strdup (error->message) : NULL;
+  g_clear_error (&error);
+  g_unlink (path);
+  g_free (path);
+  return message;
+}
+
+/* Guards against values that are lost or take the place of others. */
+static void
+values_are_read (void)
+{
+  jd_search_load_t load;
+  CU_ASSERT_PTR_NULL (read_text (GOOD "wave=0.25\nburst-factor=3\n", &load));
+  CU_ASSERT_EQUAL (load.shards, 20);
+  CU_ASSERT_EQUAL (load.slots, 2); /* Not given. */
+  CU_ASSERT_EQUAL (load.deadline_ms, 800);
+  CU_ASSERT_DOUBLE_EQUAL (load.wave, 0.25, 0.0);
+  CU_ASSERT_DOUBLE_EQUAL (load.burst_factor, 3.0, 0.0);
+}
+
+/* Guards against mistakes in a file that are played as something else. */
+static void
+mistakes_are_named (void)
+{
+  static const struct
+  {
+    const char *text;
+    const char *named;
+  } cases[] = {
+    { GOOD "wawe=0.2\n", "[callers] wawe" },
+    { GOOD "[teir]\nshards=3\n", "[teir] shards" },
+    { GOOD "retries=1.5\n", "[callers] retries" },
+    { GOOD "retries=two\n", "[callers] retries" },
+    { GOOD "retries=\n", "[callers] retries" },
+    { GOOD "wave=1.5\n", "from 0 to 1" },
+    { GOOD "[trouble]\npause-ms=150\n", "pause-every-ms" },
+    { "[tier]\nshards=20\nreplicas=2\n", "[search] work-ms" },
+    { "shards=20\n", "" },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      jd_search_load_t load;
+      char *message = read_text (cases[i].text, &load);
+      CU_ASSERT_PTR_NOT_NULL (message);
+      CU_ASSERT_TRUE (message && strstr (message, cases[i].named));
+      if (message && !strstr (message, cases[i].named))
+        printf ("%s: %s\n", cases[i].named, message);
+      g_free (message);
+    }
+}
+
+/* Guards against scenarios of the report that cannot be played. */
+static void
+scenarios_of_the_report_are_good (void)
+{
+  uint32_t count = 0;
+  const char *name;
+  GDir *dir = g_dir_open ("bench/scenarios", 0, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (dir);
+  while ((name = g_dir_read_name (dir)))
+    {
+      char *path = g_build_filename ("bench/scenarios", name, NULL);
+      jd_search_load_t load;
+      CU_ASSERT_TRUE (jd_load_scenario_read (path, &load, NULL));
+      g_free (path);
+      count++;
+    }
+  g_dir_close (dir);
+  CU_ASSERT_TRUE (count > 0);
+}
+
+int
+main (void)
+{
+  static const jd_test_case_t cases[] = {
+    { "values are read", values_are_read },
+    { "mistakes are named", mistakes_are_named },
+    { "scenarios of the report are good", scenarios_of_the_report_are_good },
+  };
+  return JD_TEST_RUN ("load_scenario", cases);
+}
