feat(routing): reject what is less urgent first when targets are overloaded

Cause: with the admission gate it matters whose requests are rejected; ranks of routes and tenants were published and not read. Ruled out: one gate for all routes of a service; their objectives differ, so what is a long queue differs too. Conclusion: a less urgent route that shares a target is rejected twice as often as the more urgent one; the rank of a tenant goes before that of the route.

--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -111,15 +111,16 @@
 /* Rejects a request because the targets of its route have more than they can do. */
 static void
 reject_for_load (jd_host_t *host, jd_caller_t *caller, const jd_http_reader_t *reader,
-                 const jd_route_t *route)
+                 const jd_route_t *route, double rejected_share)
 {
   const char *id = jd_http_reader_value (reader, host->platform.fields.request_id);
   const jd_admission_gate_t *gate = &route->latency->gate;
   jd_log_event (G_LOG_LEVEL_INFO, "targets_overloaded",
-                "id=%s route=%s rejected_share=%.2f service_ms=%.1f usual_ms=%.1f "
+                "id=%s route=%s priority=%d rejected_share=%.2f own_share=%.2f "
+                "service_ms=%.1f usual_ms=%.1f "
                 "adapted_age_ms=%" G_GINT64_FORMAT,
-                id ? id : "-", route->name, gate->rejected_share,
-                gate->service_us / (double)JD_US_PER_MS,
+                id ? id : "-", route->name, route->priority, rejected_share,
+                gate->rejected_share, gate->service_us / (double)JD_US_PER_MS,
                 route->latency->median_us / (double)JD_US_PER_MS,
                 (jd_monotonic_us () - gate->adapted_us) / JD_US_PER_MS);
   reject (host, caller, reader,
@@ -564,9 +565,11 @@
       return;
     }
   /* Before the rate of the tenant, which a rejected request must not use up. */
-  if (!jd_admission_gate_admits (&route->latency->gate, now_us))
+  double rejected_share =
+      jd_route_table_rejected_share (host->routes, route, tenant, now_us);
+  if (!jd_admission_gate_admits (&route->latency->gate, rejected_share))
     {
-      reject_for_load (host, caller, reader, route);
+      reject_for_load (host, caller, reader, route, rejected_share);
       return;
     }
   int64_t retry_after_us = 0;
--- a/src/routing/admission_gate.c
+++ b/src/routing/admission_gate.c
@@ -27,7 +27,7 @@
 adapt (jd_admission_gate_t *gate, int64_t now_us)
 {
   double pressed = (double)gate->pressed / gate->answers;
-  double admitted = 1.0 - gate->rejected_share;
+  double admitted = 1.0 - jd_admission_gate_share (gate, now_us);
   if (pressed > PRESSED_SHARE)
     admitted *= 1.0 - FALL_MAX * (pressed - PRESSED_SHARE) / (1.0 - PRESSED_SHARE);
   else
@@ -37,13 +37,24 @@
   gate->adapted_us = now_us;
 }
 
-/* Decides about a request. Rejections are spread evenly. */
+/* Returns the share of requests to reject; 0 while the load is not known. */
+double
+jd_admission_gate_share (const jd_admission_gate_t *gate, int64_t now_us)
+{
+  return now_us - gate->adapted_us > NEWS_LIFE_US ? 0.0 : gate->rejected_share;
+}
+
+/* Decides about a request of which a share is to be rejected. Rejections are spread
+ * evenly. */
 bool
-jd_admission_gate_admits (jd_admission_gate_t *gate, int64_t now_us)
+jd_admission_gate_admits (jd_admission_gate_t *gate, double rejected_share)
 {
-  if (now_us - gate->adapted_us > NEWS_LIFE_US)
-    gate->rejected_share = gate->credit = 0.0;
-  gate->credit += gate->rejected_share;
+  if (rejected_share <= 0.0)
+    {
+      gate->credit = 0.0;
+      return true;
+    }
+  gate->credit += MIN (rejected_share, REJECTED_MAX);
   if (gate->credit < 1.0)
     return true;
   gate->credit -= 1.0;
--- a/src/routing/admission_gate.h
+++ b/src/routing/admission_gate.h
@@ -26,6 +26,7 @@
   int64_t objective_us; /* Of the route. */
 } jd_admission_sign_t;
 
-bool jd_admission_gate_admits (jd_admission_gate_t *gate, int64_t now_us);
+double jd_admission_gate_share (const jd_admission_gate_t *gate, int64_t now_us);
+bool jd_admission_gate_admits (jd_admission_gate_t *gate, double rejected_share);
 void jd_admission_gate_learn (jd_admission_gate_t *gate, const jd_admission_sign_t *sign,
                               int64_t now_us);
--- a/src/routing/route_table.c
+++ b/src/routing/route_table.c
@@ -5,6 +5,8 @@
 
 /* Each observation moves the estimates by this part. The high estimate rises 9 times as
  * far as it falls, which settles at the 90th percentile. */
+/* Requests are rejected for load this many times as often as more urgent ones. */
+#define LESS_URGENT_FACTOR 2.0
 #define LATENCY_STEP 0.03
 #define HIGH_RISE 9.0
 /* What recent requests count after each look at them, and the least that counts. */
@@ -120,6 +122,7 @@
   jd_tenant_t *tenant = g_new0 (jd_tenant_t, 1);
   tenant->name = g_strdup (name);
   tenant->keys = g_ptr_array_new_with_free_func (g_free);
+  tenant->priority = JD_TENANT_NO_PRIORITY;
   g_ptr_array_add (table->tenants, tenant);
   return tenant;
 }
@@ -272,6 +275,46 @@
   return total > 0.0 ? unreached / total : 0.0;
 }
 
+/* TRUE when two routes have a service in common. */
+static bool
+share_service (const jd_route_t *route, const jd_route_t *other)
+{
+  for (guint i = 0; i < route->parts->len; i++)
+    {
+      const jd_route_part_t *part = &g_array_index (route->parts, jd_route_part_t, i);
+      for (guint k = 0; k < other->parts->len; k++)
+        {
+          if (g_array_index (other->parts, jd_route_part_t, k).pool == part->pool)
+            return true;
+        }
+    }
+  return false;
+}
+
+/* Returns the share of a tenant's requests on a route to reject because targets are
+ * overloaded. What is less urgent is rejected more, so that its targets have room for
+ * what is more urgent. */
+double
+jd_route_table_rejected_share (const jd_route_table_t *table, const jd_route_t *route,
+                               const jd_tenant_t *tenant, int64_t now_us)
+{
+  bool has_own = tenant && tenant->priority != JD_TENANT_NO_PRIORITY;
+  int32_t priority = has_own ? tenant->priority : route->priority;
+  double share = jd_admission_gate_share (&route->latency->gate, now_us);
+  if (priority > route->priority)
+    share *= LESS_URGENT_FACTOR;
+  else if (priority < route->priority)
+    share /= LESS_URGENT_FACTOR;
+  for (guint i = 0; i < table->routes->len; i++)
+    {
+      const jd_route_t *other = table->routes->pdata[i];
+      double other_share = jd_admission_gate_share (&other->latency->gate, now_us);
+      if (other_share > 0.0 && other->priority < priority && share_service (route, other))
+        share = MAX (share, LESS_URGENT_FACTOR * other_share);
+    }
+  return MIN (share, 1.0);
+}
+
 /* Learns from the latency of one successful attempt. */
 void
 jd_route_latency_record (jd_route_latency_t *latency, int64_t elapsed_us)
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -38,6 +38,7 @@
   bool open;             /* Needs no key. */
   int64_t timeout_us;    /* Longest time that a caller is kept waiting. */
   int64_t objective_us;  /* Latency within which an answer has its full value. */
+  int32_t priority;      /* 0 is the most urgent. */
   uint32_t max_attempts; /* Replicas on which one request may run. */
   uint32_t top_k;
   double min_coverage;
@@ -45,12 +46,15 @@
   jd_route_latency_t *latency;
 } jd_route_t;
 
+#define JD_TENANT_NO_PRIORITY (-1)
+
 typedef struct jd_tenant
 {
   char *name;
   GPtrArray *keys;
   double rate_per_s; /* 0: no limit. */
   double burst;
+  int32_t priority; /* Goes before that of a route; JD_TENANT_NO_PRIORITY: none. */
 } jd_tenant_t;
 
 typedef struct jd_service_limits
@@ -92,4 +96,7 @@
 const jd_tenant_t *jd_route_table_tenant (const jd_route_table_t *table, const char *key);
 uint32_t jd_route_needed_parts (const jd_route_t *route, uint32_t count);
 double jd_route_table_unreached (jd_route_table_t *table);
+double jd_route_table_rejected_share (const jd_route_table_t *table,
+                                      const jd_route_t *route, const jd_tenant_t *tenant,
+                                      int64_t now_us);
 void jd_route_latency_record (jd_route_latency_t *latency, int64_t elapsed_us);
--- a/test/support/search_load.c
+++ b/test/support/search_load.c
@@ -406,7 +406,8 @@
     }
   jd_route_latency_t *latency = world->hosts[host].route->latency;
   if (!world->load->unguarded &&
-      !jd_admission_gate_admits (&latency->gate, world->now_us))
+      !jd_admission_gate_admits (&latency->gate,
+                                 jd_admission_gate_share (&latency->gate, world->now_us)))
     {
       jd_search_end_t end = { .refused = true };
       world->result.rejected++;
--- a/test/unit/test_admission_gate.c
+++ b/test/unit/test_admission_gate.c
@@ -9,6 +9,13 @@
 #define SERVICE_US (15 * JD_US_PER_MS)
 #define STEP_US (10 * JD_US_PER_MS)
 
+/* Decides about a request by the gate's own share. */
+static bool
+admits (jd_admission_gate_t *gate, int64_t now_us)
+{
+  return jd_admission_gate_admits (gate, jd_admission_gate_share (gate, now_us));
+}
+
 /* Lets a gate learn from a second of answers, one each 10 ms, some in a hundred of them
  * from targets with 12 requests in their queue. Returns how many of the requests that
  * came in this time were rejected. */
@@ -26,7 +33,7 @@
         .objective_us = OBJECTIVE_US,
       };
       *now_us += STEP_US;
-      rejected += !jd_admission_gate_admits (gate, *now_us);
+      rejected += !admits (gate, *now_us);
       jd_admission_gate_learn (gate, &sign, *now_us);
     }
   return rejected;
@@ -72,7 +79,7 @@
   CU_ASSERT_TRUE (gate.rejected_share > 0.5);
   now_us += JD_US_PER_S + STEP_US;
   for (uint32_t i = 0; i < 100; i++)
-    CU_ASSERT_TRUE (jd_admission_gate_admits (&gate, now_us));
+    CU_ASSERT_TRUE (admits (&gate, now_us));
 }
 
 /* Guards against short queues that count as overload: at a target that answers in 5 ms,
@@ -91,7 +98,7 @@
         .objective_us = OBJECTIVE_US,
       };
       now_us += STEP_US;
-      CU_ASSERT_TRUE (jd_admission_gate_admits (&gate, now_us));
+      CU_ASSERT_TRUE (admits (&gate, now_us));
       jd_admission_gate_learn (&gate, &sign, now_us);
     }
 }
--- a/test/unit/test_published_records.c
+++ b/test/unit/test_published_records.c
@@ -53,6 +53,9 @@
   CU_ASSERT_EQUAL (search->timeout_us, 800000);
   CU_ASSERT_EQUAL (search->objective_us, 120000);
   CU_ASSERT_EQUAL (search->top_k, 20);
+  CU_ASSERT_EQUAL (search->priority, 1);
+  CU_ASSERT_EQUAL (split->priority, 0);
+  CU_ASSERT_EQUAL (jd_route_table_tenant (table, "k1")->priority, 1);
   CU_ASSERT_EQUAL (split->kind, JD_ROUTE_WEIGHTED);
   CU_ASSERT_FALSE (split->idempotent);
   CU_ASSERT_EQUAL (table->head_bytes, 16384);
@@ -63,6 +66,32 @@
   jd_replica_registry_free (registry);
 }
 
+/* Guards against a configuration that is not put in force because of a rank that cannot
+ * be read. */
+static void
+unreadable_ranks_are_left_out (void)
+{
+  static const char *const ranks[] = { "null", "\"high\"", "-1", "[]" };
+  for (size_t i = 0; i < G_N_ELEMENTS (ranks); i++)
+    {
+      jd_replica_registry_t *registry = new_registry ();
+      GString *text = g_string_new (good_config);
+      char *field = g_strdup_printf ("\"priority\":%s", ranks[i]);
+      g_string_replace (text, "\"priority\":1", field, 0);
+      jd_route_table_t *table =
+          jd_platform_decode_routes (registry, text->str, text->len, NULL);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (table);
+      jd_route_table_finish (table, NULL);
+      CU_ASSERT_EQUAL (jd_route_table_match (table, "a.example", "/s/1", 4)->priority, 0);
+      CU_ASSERT_EQUAL (jd_route_table_tenant (table, "k1")->priority,
+                       JD_TENANT_NO_PRIORITY);
+      jd_route_table_unref (table);
+      g_string_free (text, TRUE);
+      g_free (field);
+      jd_replica_registry_free (registry);
+    }
+}
+
 /* Guards against a damaged configuration that is put in force, and against an error that
  * does not name the field. */
 static void
@@ -156,6 +185,7 @@
 {
   static const jd_test_case_t cases[] = {
     { "good configuration", good_configuration_is_decoded },
+    { "unreadable ranks", unreadable_ranks_are_left_out },
     { "bad configurations", bad_configurations_are_refused },
     { "damaged configurations", damaged_configurations_are_survived },
     { "heartbeats are no changes", heartbeats_are_no_changes },
--- a/test/unit/test_route_table.c
+++ b/test/unit/test_route_table.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/clock.h"
 #include "support/test_main.h"
 
 static const jd_route_t *
@@ -106,6 +107,45 @@
   jd_replica_registry_free (registry);
 }
 
+/* Guards against more urgent requests that are rejected for load while less urgent ones
+ * of the same targets are taken, and against rejections of requests to other targets. */
+static void
+less_urgent_requests_are_rejected_first (void)
+{
+  jd_replica_events_t events = { ignore_replica, ignore_replica, NULL };
+  jd_replica_registry_t *registry = jd_replica_registry_new ("a", &events);
+  jd_route_table_t *table = jd_route_table_new (1);
+  jd_route_t *urgent = jd_route_table_add_route (table, "urgent", "h", "/u/");
+  jd_route_t *usual = jd_route_table_add_route (table, "usual", "h", "/s/");
+  jd_route_t *other = jd_route_table_add_route (table, "other", "h", "/o/");
+  urgent->priority = 1;
+  usual->priority = other->priority = 2;
+  jd_route_add_part (urgent, jd_replica_registry_pool (registry, "desk"), 1.0);
+  jd_route_add_part (usual, jd_replica_registry_pool (registry, "desk"), 1.0);
+  jd_route_add_part (other, jd_replica_registry_pool (registry, "studio"), 1.0);
+  jd_route_table_finish (table, NULL);
+  jd_tenant_t *tenant = jd_route_table_add_tenant (table, "school");
+  int64_t now_us = JD_US_PER_S;
+  urgent->latency->gate.adapted_us = now_us;
+  urgent->latency->gate.rejected_share = 0.2;
+  CU_ASSERT_DOUBLE_EQUAL (jd_route_table_rejected_share (table, urgent, tenant, now_us),
+                          0.2, 1e-9);
+  CU_ASSERT_DOUBLE_EQUAL (jd_route_table_rejected_share (table, usual, tenant, now_us),
+                          0.4, 1e-9);
+  CU_ASSERT_EQUAL (jd_route_table_rejected_share (table, other, tenant, now_us), 0.0);
+  /* The rank of a tenant goes before that of a route. */
+  tenant->priority = 1;
+  CU_ASSERT_EQUAL (jd_route_table_rejected_share (table, usual, tenant, now_us), 0.0);
+  tenant->priority = 3;
+  CU_ASSERT_DOUBLE_EQUAL (jd_route_table_rejected_share (table, urgent, tenant, now_us),
+                          0.4, 1e-9);
+  CU_ASSERT_EQUAL (
+      jd_route_table_rejected_share (table, urgent, tenant, now_us + 2 * JD_US_PER_S),
+      0.0);
+  jd_route_table_unref (table);
+  jd_replica_registry_free (registry);
+}
+
 int
 main (void)
 {
@@ -113,6 +153,7 @@
     { "longest prefix of the host", longest_prefix_of_the_host },
     { "newer version", newer_version_replaces_keys_and_keeps_latency },
     { "median ignores outliers", median_ignores_outliers },
+    { "less urgent requests", less_urgent_requests_are_rejected_first },
     { "cut off routes", cut_off_routes_count_by_their_requests },
   };
   return JD_TEST_RUN ("route_table", cases);
