fix(routing): judge the load by recent answers only

Cause: answers of a load that had ended, too few to be judged then, were judged with the first ones after a pause, so a calm route rejected requests. Found by: the new process test of the gate, 1 of 23271 assertions. Ruled out: a share that outlives its time; jd_admission_gate_share returned 0. Measured: unit_test_admission_gate 'old load does not count' fails before and passes after; process_test_host 'excess for overloaded targets' the same. Conclusion: counts begin anew when there was no news for a second.

--- a/src/routing/admission_gate.c
+++ b/src/routing/admission_gate.c
@@ -27,7 +27,7 @@
 adapt (jd_admission_gate_t *gate, int64_t now_us)
 {
   double pressed = (double)gate->pressed / gate->answers;
-  double admitted = 1.0 - jd_admission_gate_share (gate, now_us);
+  double admitted = 1.0 - gate->rejected_share;
   if (pressed > PRESSED_SHARE)
     admitted *= 1.0 - FALL_MAX * (pressed - PRESSED_SHARE) / (1.0 - PRESSED_SHARE);
   else
@@ -67,6 +67,12 @@
                          int64_t now_us)
 {
   double slots = MAX (sign->slots, 1);
+  if (now_us - gate->adapted_us > NEWS_LIFE_US)
+    {
+      gate->rejected_share = 0.0;
+      gate->answers = gate->pressed = 0;
+      gate->adapted_us = now_us;
+    }
   if (sign->waiting == 0)
     gate->service_us += (gate->service_us > 0.0 ? SMOOTHING : 1.0) *
                         ((double)sign->elapsed_us - gate->service_us);
--- a/test/process/test_host.c
+++ b/test/process/test_host.c
@@ -377,6 +377,56 @@
   jd_host_lab_close (&lab);
 }
 
+/* Sends edits one after the other; returns how many were rejected. A rejected one has not
+ * run and says when to come back. */
+static uint32_t
+send_edits (jd_host_lab_t *lab, uint32_t count)
+{
+  static uint32_t number;
+  uint32_t rejected = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char id[32];
+      g_snprintf (id, sizeof (id), "busy-%u", number++);
+      jd_lab_reply_t *reply = call (lab, 0, "POST", "/edit/1", id, JD_LAB_KEY);
+      uint32_t runs = jd_shard_target_runs (lab->targets[STUDIO].target, id) +
+                      jd_shard_target_runs (lab->targets[STUDIO + 1].target, id);
+      CU_ASSERT_TRUE (reply->status == 200 || reply->status == 503);
+      CU_ASSERT_EQUAL (runs, reply->status == 200 ? 1 : 0);
+      CU_ASSERT_TRUE (reply->status == 200 || reply->retry_after != NULL);
+      rejected += reply->status == 503;
+      jd_lab_reply_free (reply);
+    }
+  return rejected;
+}
+
+/* Guards against requests that are taken although the targets of their route are
+ * overloaded, that are rejected after it, and against rejected ones that run. */
+static void
+excess_for_overloaded_targets_is_rejected (void)
+{
+  jd_host_lab_t lab = { 0 };
+  jd_host_lab_open (&lab, 1, SHARDS);
+  CU_ASSERT_TRUE_FATAL (jd_host_lab_wait_ready (&lab, 0, 5.0));
+  CU_ASSERT_TRUE (wait_status (&lab, 0, "/edit/1", JD_LAB_KEY, 200, 5.0));
+  CU_ASSERT_EQUAL (send_edits (&lab, 30), 0);
+  /* 200 requests of 3 ms on 2 slots take 300 ms; the objective is 200 ms. */
+  jd_shard_faults_t busy = { .delay_us = 3000, .waiting = 200 };
+  jd_shard_faults_t calm = { .delay_us = 3000 };
+  for (size_t i = STUDIO; i < STUDIO + 2; i++)
+    jd_shard_target_set_faults (lab.targets[i].target, &busy);
+  CU_ASSERT_TRUE (send_edits (&lab, 300) >= 100);
+  jd_lab_reply_t *reply = jd_host_lab_metrics (&lab, 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (reply->body->str, "{end=\"overloaded\"} "));
+  CU_ASSERT_PTR_NULL (strstr (reply->body->str, "{end=\"overloaded\"} 0\n"));
+  jd_lab_reply_free (reply);
+  for (size_t i = STUDIO; i < STUDIO + 2; i++)
+    jd_shard_target_set_faults (lab.targets[i].target, &calm);
+  jd_host_lab_run (&lab, 1.2);
+  CU_ASSERT_EQUAL (send_edits (&lab, 100), 0);
+  jd_host_lab_close (&lab);
+}
+
 /* Guards against metrics that do not tell kinds of requests, their ends and the zones of
  * targets apart, and against an address that serves none. */
 static void
@@ -424,6 +474,7 @@
     { "graceful stop", graceful_stop_cuts_nothing },
     { "host without targets", host_without_targets_leaves_the_rotation },
     { "rate is kept", rate_is_kept },
+    { "excess for overloaded targets", excess_for_overloaded_targets_is_rejected },
     { "metrics tell kinds and zones", metrics_tell_kinds_and_zones },
   };
   return JD_TEST_RUN ("host", cases);
--- a/test/stand_ins/shard_target.c
+++ b/test/stand_ins/shard_target.c
@@ -61,8 +61,9 @@
   GString *fields = g_string_new (NULL);
   g_string_append_printf (fields,
                           "X-Attempt-Id: %s\r\nX-Server-Stamp: %s.%s\r\n"
-                          "X-Server-Load: 1,0,2\r\nKeep-Alive: timeout=5\r\n",
-                          pending->request_id, target->id, pending->request_id);
+                          "X-Server-Load: 1,%u,2\r\nKeep-Alive: timeout=5\r\n",
+                          pending->request_id, target->id, pending->request_id,
+                          target->faults.waiting);
   GString *body = render_body (target);
   jd_caller_set_data (caller, NULL);
   jd_caller_answer (caller, pending->status, fields, body->str, body->len);
--- a/test/stand_ins/shard_target.h
+++ b/test/stand_ins/shard_target.h
@@ -17,6 +17,7 @@
   double cut_share;   /* The answer breaks off. */
   double stray_share; /* An answer of another request goes ahead. */
   int64_t delay_us;   /* Time to an answer. */
+  uint32_t waiting;   /* Length of the queue that it tells. */
   bool hangs;         /* Requests run and get no answer. */
 } jd_shard_faults_t;
 
--- a/test/unit/test_admission_gate.c
+++ b/test/unit/test_admission_gate.c
@@ -77,9 +77,16 @@
   play_second (&gate, 0, &now_us);
   play_second (&gate, 100, &now_us);
   CU_ASSERT_TRUE (gate.rejected_share > 0.5);
+  /* Some answers more, which are not judged before the load ends. */
+  jd_admission_sign_t sign = {
+    .waiting = 12, .slots = 2, .elapsed_us = SERVICE_US, .objective_us = OBJECTIVE_US
+  };
+  for (uint32_t i = 0; i < 5; i++)
+    jd_admission_gate_learn (&gate, &sign, now_us);
   now_us += JD_US_PER_S + STEP_US;
   for (uint32_t i = 0; i < 100; i++)
     CU_ASSERT_TRUE (admits (&gate, now_us));
+  CU_ASSERT_EQUAL (play_second (&gate, 0, &now_us), 0);
 }
 
 /* Guards against short queues that count as overload: at a target that answers in 5 ms,
