fix(routing): do not take slow targets for overload

Cause: the queue of one slow target counted as pressure although the other target of its shard could serve. Ruled out: a higher share of pressed answers; half of the targets are more than half of the answers while hosts still learn. Conclusion: only the shortest queue of a service counts.

--- a/src/routing/admission_gate.c
+++ b/src/routing/admission_gate.c
@@ -76,7 +76,8 @@
   if (sign->waiting == 0)
     gate->service_us += (gate->service_us > 0.0 ? SMOOTHING : 1.0) *
                         ((double)sign->elapsed_us - gate->service_us);
-  double queue_us = gate->service_us * sign->waiting / slots;
+  /* A target in trouble has a long queue while another one can serve. */
+  double queue_us = gate->service_us * MIN (sign->waiting, sign->elsewhere) / slots;
   gate->answers++;
   gate->pressed += queue_us > LONG_QUEUE_SHARE * (double)sign->objective_us;
   if (gate->answers >= ANSWERS_MIN && now_us - gate->adapted_us >= ADAPT_US)
--- a/src/routing/admission_gate.h
+++ b/src/routing/admission_gate.h
@@ -20,7 +20,8 @@
 /* One answer of a target that tells its load. */
 typedef struct jd_admission_sign
 {
-  uint32_t waiting; /* Requests in its queue. */
+  uint32_t waiting;   /* Requests in its queue. */
+  uint32_t elsewhere; /* In the shortest queue of the service's other targets. */
   uint32_t slots;
   int64_t elapsed_us;
   int64_t objective_us; /* Of the route. */
--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -263,7 +263,8 @@
   if (!fanout->route->latency || replica->reported_at_us < attempt->started_us)
     return;
   jd_admission_sign_t sign = {
-    .waiting = replica->reported_busy - MIN (replica->reported_busy, replica->slots),
+    .waiting = jd_replica_waiting (replica, now_us),
+    .elsewhere = jd_replica_shortest_queue (replica, now_us),
     .slots = replica->slots,
     .elapsed_us = now_us - attempt->started_us,
     .objective_us = fanout->route->objective_us,
--- a/src/routing/replica_choice.c
+++ b/src/routing/replica_choice.c
@@ -68,6 +68,31 @@
   return (int64_t)cost_us;
 }
 
+/* Returns how many requests wait at a replica as it last told; 0 if that is not known or
+ * too old. */
+uint32_t
+jd_replica_waiting (const jd_replica_t *replica, int64_t now_us)
+{
+  if (replica->reported_at_us == 0 || now_us - replica->reported_at_us >= REPORT_LIFE_US)
+    return 0;
+  return replica->reported_busy - MIN (replica->reported_busy, replica->slots);
+}
+
+/* Returns how many requests wait at the best of the other replicas of a replica's
+ * service; UINT32_MAX when there is no other to use. */
+uint32_t
+jd_replica_shortest_queue (const jd_replica_t *replica, int64_t now_us)
+{
+  uint32_t shortest = UINT32_MAX;
+  for (guint i = 0; i < replica->pool->replicas->len; i++)
+    {
+      const jd_replica_t *other = replica->pool->replicas->pdata[i];
+      if (other != replica && jd_replica_is_usable (other, now_us))
+        shortest = MIN (shortest, jd_replica_waiting (other, now_us));
+    }
+  return shortest;
+}
+
 /* TRUE when one more request is expected to run at once. */
 bool
 jd_replica_has_room (const jd_replica_t *replica, int64_t now_us)
--- a/src/routing/replica_choice.h
+++ b/src/routing/replica_choice.h
@@ -13,6 +13,8 @@
 
 int64_t jd_replica_expected_us (const jd_replica_t *replica,
                                 const jd_replica_need_t *need, int64_t now_us);
+uint32_t jd_replica_waiting (const jd_replica_t *replica, int64_t now_us);
+uint32_t jd_replica_shortest_queue (const jd_replica_t *replica, int64_t now_us);
 bool jd_replica_has_room (const jd_replica_t *replica, int64_t now_us);
 jd_replica_t *jd_replica_choose (const jd_replica_pool_t *pool,
                                  const jd_replica_need_t *need, int64_t now_us);
--- a/test/random/test_fanout.c
+++ b/test/random/test_fanout.c
@@ -222,6 +222,44 @@
     }
 }
 
+/* Load callback: counts callers that are served in time from their first attempt on. */
+static void
+count_served (void *context, const jd_search_end_t *end)
+{
+  uint32_t *served = context;
+  *served += end->is_last && end->in_objective;
+}
+
+/* Guards against searches that are rejected because half of the shards have one target 12
+ * times as slow, although the other one can serve them: at the load of the heaviest day,
+ * 97 in 100 of the callers that are served in time when all are taken still are. */
+static void
+slow_targets_are_not_taken_for_overload (void)
+{
+  uint32_t guarded = 0, all = 0;
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      jd_search_load_t load = burst (seed, 1.0);
+      load.searches_per_s = 110.0;
+      load.wave = 0.15;
+      load.wave_ms = 11000;
+      load.duration_ms = 16000;
+      load.leave_share = 0.3;
+      load.leave_ms = 150;
+      load.slow_percent = 50;
+      load.slow_factor = 12.0;
+      load.slow_from_ms = 4000;
+      load.on_end = count_served;
+      load.context = &guarded;
+      jd_search_load_play (&load);
+      load.unguarded = true;
+      load.context = &all;
+      jd_search_load_play (&load);
+    }
+  printf ("in time: %u of all taken, %u ", all, guarded);
+  CU_ASSERT_TRUE (guarded * 100 >= all * 97);
+}
+
 /* Guards against retries that multiply: when two thirds of attempts fail, the extra ones
  * stay within their budget. */
 static void
@@ -246,6 +284,8 @@
     { "hedges yield in a burst", hedges_yield_in_a_burst },
     { "excess of a burst is rejected", excess_of_a_burst_is_rejected },
     { "trouble is not taken for overload", trouble_is_not_taken_for_overload },
+    { "slow targets are not taken for overload",
+      slow_targets_are_not_taken_for_overload },
     { "failures do not multiply", failures_do_not_multiply },
   };
   return JD_TEST_RUN ("fanout", cases);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -75,7 +75,6 @@
 {
   int64_t left_us; /* When it was published as leaving; 0: it is in use. */
   int64_t cold_until_us;
-  int64_t replaced_us;
   jd_soak_window_t cold; /* Arrivals while cold. */
 } jd_soak_target_t;
 
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -156,7 +156,6 @@
   if (target->left_us > 0)
     return;
   jd_host_lab_replace_target (&soak->lab, index, is_planted ? 0 : JD_SOAK_COLD_MS);
-  target->replaced_us = now_us;
   target->cold_until_us = now_us + JD_SOAK_COLD_MS * JD_US_PER_MS;
   target->cold.count = 0;
 }
--- a/test/unit/test_admission_gate.c
+++ b/test/unit/test_admission_gate.c
@@ -28,6 +28,7 @@
       bool is_pressed = (i * 37) % 100 < pressed_percent;
       jd_admission_sign_t sign = {
         .waiting = is_pressed ? 12 : 0,
+        .elsewhere = UINT32_MAX,
         .slots = 2,
         .elapsed_us = is_pressed ? 7 * SERVICE_US : SERVICE_US,
         .objective_us = OBJECTIVE_US,
@@ -79,7 +80,11 @@
   CU_ASSERT_TRUE (gate.rejected_share > 0.5);
   /* Some answers more, which are not judged before the load ends. */
   jd_admission_sign_t sign = {
-    .waiting = 12, .slots = 2, .elapsed_us = SERVICE_US, .objective_us = OBJECTIVE_US
+    .waiting = 12,
+    .elsewhere = 12,
+    .slots = 2,
+    .elapsed_us = SERVICE_US,
+    .objective_us = OBJECTIVE_US,
   };
   for (uint32_t i = 0; i < 5; i++)
     jd_admission_gate_learn (&gate, &sign, now_us);
@@ -100,6 +105,7 @@
     {
       jd_admission_sign_t sign = {
         .waiting = i % 4 ? 12 : 0,
+        .elsewhere = UINT32_MAX,
         .slots = 2,
         .elapsed_us = 5 * JD_US_PER_MS,
         .objective_us = OBJECTIVE_US,
