--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -76,7 +76,7 @@
   uint32_t own_at_report; /* Attempts of this host among them. */
   int64_t reported_at_us;
   jd_cold_share_t cold; /* Requests that this host may send it while it is cold. */
-  void *link; /* Connections; owned by the transport. */
+  void *link;           /* Connections; owned by the transport. */
 } jd_replica_t;
 
 /* All replicas of one service. */
--- a/test/support/search_load.h
+++ b/test/support/search_load.h
@@ -72,7 +72,7 @@
   uint32_t answered; /* With enough parts. */
   uint32_t in_objective;
   uint32_t complete;
-  uint32_t rejected; /* For load. */
+  uint32_t rejected;    /* For load. */
   uint32_t late_finals; /* Without a final answer by the deadline. */
   uint64_t first_attempts;
   uint64_t extra_attempts;
