fix(broker): apply health and drain when the join follows the last record

Cause: apply_records cleared has_new_records and returned while the node had not joined. If the join completed after the last adopted record, for example because a peer did not answer until the join timeout of 2 s, nothing applied the health, and /healthz stayed 503 no_configuration until the next published change. This is what made scripts/demo fail. Ruled out: the demo's waiting time (20 s; the state lasts for ever), the entry (it computes its health at each question). Change: the targets still follow each record at once; health and drain stay pending until the node is listed.

--- a/src/daemons/broker_daemon.c
+++ b/src/daemons/broker_daemon.c
@@ -132,16 +132,22 @@
   jd_node_set_state (broker->node, JD_MEMBER_RELEASED);
 }
 
-/* Applies the records that were adopted since the last iteration of the event loop. */
+/* Applies the records that were adopted since the last iteration of the event loop. The
+ * health and the drain follow once the node has joined, which may be later than the last
+ * record. */
 static void
 apply_records (jd_broker_daemon_t *broker, int64_t now_us)
 {
-  if (!broker->has_new_records)
-    return;
-  broker->has_new_records = FALSE;
-  jd_broker_targets_reload (broker->targets, now_us);
-  if (broker->phase != JD_BROKER_RUNNING || !jd_node_is_listed (broker->node))
+  if (broker->has_new_records)
+    {
+      broker->has_new_records = FALSE;
+      broker->has_unapplied_state = TRUE;
+      jd_broker_targets_reload (broker->targets, now_us);
+    }
+  if (!broker->has_unapplied_state || broker->phase != JD_BROKER_RUNNING ||
+      !jd_node_is_listed (broker->node))
     return;
+  broker->has_unapplied_state = FALSE;
   jd_operator_http_set_health (broker->http,
                                broker->is_draining ? JD_SHUTTING_DOWN : JD_OK);
   set_draining (broker, is_drain_published (broker), now_us);
--- a/src/daemons/broker_defs.h
+++ b/src/daemons/broker_defs.h
@@ -40,7 +40,8 @@
   jd_counters_t *counters;
   jd_broker_counters_t counts;
   jd_config_store_t *store;
-  gboolean has_new_records;
+  gboolean has_new_records;     /* Records were adopted since the last iteration. */
+  gboolean has_unapplied_state; /* Health and drain do not follow the records yet. */
   jd_node_t *node;
   jd_stop_signal_t stop;
   jd_broker_core_t *core;
--- a/test/process/test_broker_daemon.c
+++ b/test/process/test_broker_daemon.c
@@ -311,6 +311,32 @@
   jd_broker_fixture_stop (&fixture);
 }
 
+/* Guards against a broker that stays unhealthy because it joined after it had adopted the
+ * last record: a silent peer delays the join until its timeout. */
+static void
+broker_that_joins_late_becomes_healthy (void)
+{
+  static jd_broker_fixture_t fixture;
+  CU_ASSERT_FATAL (jd_broker_fixture_start (&fixture, 3));
+  kill (fixture.brokers[0], SIGKILL);
+  CU_ASSERT_EQUAL (jd_child_wait (fixture.brokers[0], 1000), 128 + SIGKILL);
+  kill (fixture.brokers[2], SIGSTOP);
+  fixture.bootstrap_peers = fixture.addresses[2];
+  jd_broker_fixture_start_broker (&fixture, 0);
+  long status = 0;
+  for (int i = 0; i < 100 && status != 200; i++)
+    {
+      jd_broker_fixture_run (&fixture, 100);
+      jd_http_reply_t health =
+          jd_http_get ("http://127.0.0.1:%u/healthz", fixture.http_ports[0]);
+      status = health.status;
+      jd_http_reply_clear (&health);
+    }
+  CU_ASSERT_EQUAL (status, 200);
+  kill (fixture.brokers[2], SIGCONT);
+  jd_broker_fixture_stop (&fixture);
+}
+
 int
 main (void)
 {
@@ -323,6 +349,7 @@
     { "drained member hands over and regains targets",
       drained_member_hands_over_and_regains_targets },
     { "killed broker is replaced", killed_broker_is_replaced },
+    { "broker that joins late becomes healthy", broker_that_joins_late_becomes_healthy },
     { "released targets are handed over fast", released_targets_are_handed_over_fast },
   };
   return JD_TEST_RUN ("broker_daemon", cases);
--- a/test/support/broker_lab.h
+++ b/test/support/broker_lab.h
@@ -31,6 +31,8 @@
   jd_platform_t *platform;
   jd_target_t *targets[JD_BROKER_FIXTURE_TARGETS];
   uint32_t broker_count;
+  const char *bootstrap_peers; /* Addresses that brokers started from now on contact
+                                  before they know the fleet; NULL: none. */
   pid_t brokers[JD_BROKER_FIXTURE_MAX_BROKERS];
   char addresses[JD_BROKER_FIXTURE_MAX_BROKERS][32];
   uint16_t http_ports[JD_BROKER_FIXTURE_MAX_BROKERS];
