feat(routing): follow what targets say about leaving and pauses

Cause: nothing read Server-Leaving or a target's Retry-After. A target that leaves without a draining record kept its requests until its record was removed, and a target that asked for a pause got the next request at once. Ruled out: marking the replica object (its record may be removed and published again, and a late answer may come after the removal); telling peers (a target tells each host itself, and a pause is meant for one host); a notice by address (addresses are used again). Change: target_notice holds what one process of a target said; the registry keeps it past the removal of the record, and only a later start time ends it. Leaving targets are a last resort until the drain limit and closed after it; paused ones are closed, and each host returns at a time of its own after the pause. A request that cannot be served names the time until enough parts have a target. Waiting attempts of a paused target go to others. A link is no longer freed while a caller up the stack uses it (fail_connection, complete_exchange). Metrics, log lines, jackdawctl targets.

--- a/src/cli/cli_defs.h
+++ b/src/cli/cli_defs.h
@@ -20,13 +20,15 @@
   CLI_FLAG_QUERY = 1 << 2,
   CLI_FLAG_RECORD_SOURCE = 1 << 3,      /* --from, --platform, --publish-to */
   CLI_FLAG_ARGUMENTS_OPTIONAL = 1 << 4, /* Arguments can replace the required flags. */
+  CLI_FLAG_METRICS = 1 << 5,
 } cli_flag_t;
 
 /* Parsed command line. Options that were not given are NULL. */
 typedef struct cli_options
 {
   gboolean json;
-  const char *entry; /* Base URL, never NULL. */
+  const char *entry;   /* Base URL, never NULL. */
+  const char *metrics; /* URL of a host's metrics. */
   const char *service;
   const char *query;
   const char *from;
--- a/src/cli/cli_options.c
+++ b/src/cli/cli_options.c
@@ -13,6 +13,7 @@
   ARG_HELP,
   ARG_JSON,
   ARG_ENTRY,
+  ARG_METRICS,
   ARG_SERVICE,
   ARG_QUERY,
   ARG_FROM,
@@ -82,6 +83,9 @@
   struct arg_str *entry = add_option (
       table, &count, (command->flags & CLI_FLAG_ENTRY) != 0, "entry", "<url>",
       "base URL of the entry; default " ENTRY_VARIABLE " or " DEFAULT_ENTRY, FALSE);
+  struct arg_str *metrics =
+      add_option (table, &count, (command->flags & CLI_FLAG_METRICS) != 0, "metrics",
+                  "<url>", "URL of the metrics of a jackdaw-host", TRUE);
   struct arg_str *service =
       add_option (table, &count, (command->flags & CLI_FLAG_SERVICE) != 0, "service",
                   "<name>", "service of the search", !arguments_optional);
@@ -120,6 +124,7 @@
   *options = (cli_options_t){
     .json = json->count > 0,
     .entry = entry_url (option_value (entry)),
+    .metrics = option_value (metrics),
     .service = option_value (service),
     .query = option_value (query),
     .from = option_value (from),
--- a/src/cli/command_story.c
+++ b/src/cli/command_story.c
@@ -47,9 +47,10 @@
 static void
 record_target_state (GHashTable *target_states, const char *line)
 {
-  static const char *const events[] = { "target_ejected", "target_unreachable",
+  static const char *const events[] = { "target_ejected",   "target_unreachable",
                                         "target_reachable", "target_gone",
-                                        "target_seen" };
+                                        "target_seen",      "target_leaving",
+                                        "target_paused" };
   char *event = line_value (line, "event");
   char *target = line_value (line, "target");
   char *host = line_value (line, "host");
--- a/src/cli/jackdawctl.c
+++ b/src/cli/jackdawctl.c
@@ -6,6 +6,7 @@
 #include "cli/cli_output.h"
 #include "cli/command_change.h"
 #include "cli/command_entry.h"
+#include "cli/command_targets.h"
 #include "cli/command_validate.h"
 
 #define MAX_FILES 10000
@@ -24,6 +25,10 @@
     cli_command_explain },
   { "counters", "Show an entry's metric counters.", NULL, 0, CLI_FLAG_ENTRY,
     cli_command_counters },
+  { "targets",
+    "Show the targets that told a jackdaw-host that they are leaving or want a pause, "
+    "with the age of each state.",
+    NULL, 0, CLI_FLAG_METRICS, cli_command_targets },
   { "drain", "Create the next version of the hosts record, with a seat drained.", "SEAT",
     1, CLI_FLAG_RECORD_SOURCE, cli_command_change },
   { "undrain", "Create the next version of the hosts record, with a seat restored.",
--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -140,6 +140,7 @@
   jd_replica_registry_each (host->registry, update_cold_quota, host);
   update_targets_reachable (host, now_us);
   jd_record_feed_release_removals (host->feed, now_us);
+  jd_replica_registry_expire_notices (host->registry, now_us);
 }
 
 /* Registry event: a target may receive requests. */
@@ -375,6 +376,7 @@
   host->retry_slack = settings->retry_slack;
   host->retry_window_us = settings->retry_window_us;
   host->cold_slack = settings->cold_slack;
+  jd_replica_registry_set_drain_limit (host->registry, settings->drain_limit_us);
   add_seed_peers (host, settings->seeds);
 }
 
--- a/src/daemons/host_metrics.c
+++ b/src/daemons/host_metrics.c
@@ -160,6 +160,45 @@
   counts->ejected += replica->ejected_until_us > counts->now_us;
 }
 
+/* Targets listed by name in the metrics, for each state. */
+#define NOTICES_LISTED_MAX 64
+
+/* Lists targets that told this host that they are leaving or paused. */
+typedef struct jd_notice_list
+{
+  GString *text;
+  uint32_t leaving;
+  uint32_t paused;
+  int64_t now_us;
+} jd_notice_list_t;
+
+/* Appends a gauge in seconds with the id of a target as label. */
+static void
+append_target_seconds (GString *text, const char *name, const jd_replica_t *replica,
+                       int64_t time_us)
+{
+  g_string_append_printf (text, "%s{target=\"%s\"} %.3f\n", name, replica->id,
+                          (double)time_us / (double)JD_US_PER_S);
+}
+
+/* Registry visitor: adds what a target said about itself to the list. */
+static void
+list_notice (void *context, jd_replica_t *replica)
+{
+  jd_notice_list_t *list = context;
+  const jd_target_notice_t *notice = replica->notice;
+  if (notice->leaving_since_us != 0 && list->leaving++ < NOTICES_LISTED_MAX)
+    append_target_seconds (list->text, "jackdaw_target_leaving_seconds", replica,
+                           list->now_us - notice->leaving_since_us);
+  if (notice->return_at_us > list->now_us && list->paused++ < NOTICES_LISTED_MAX)
+    {
+      append_target_seconds (list->text, "jackdaw_target_paused_seconds", replica,
+                             list->now_us - notice->paused_since_us);
+      append_target_seconds (list->text, "jackdaw_target_pause_left_seconds", replica,
+                             notice->return_at_us - list->now_us);
+    }
+}
+
 /* Metrics server callback: answers with all metrics in the Prometheus text format. */
 void
 jd_host_answer_metrics (void *context, jd_caller_t *caller,
@@ -172,18 +211,22 @@
   g_free (counters);
   append_latencies (text, &host->latencies);
   jd_replica_registry_each (host->registry, count_target_faults, &faults);
+  jd_notice_list_t notices = { .text = text, .now_us = faults.now_us };
+  jd_replica_registry_each (host->registry, list_notice, &notices);
   int64_t held_until_us = jd_record_feed_removals_held_until_us (host->feed);
   g_string_append_printf (
       text,
       "jackdaw_requests_running %u\njackdaw_hosts %u\njackdaw_targets %u\n"
       "jackdaw_targets_told_of %u\njackdaw_targets_left_out %u\n"
+      "jackdaw_targets_leaving %u\njackdaw_targets_paused %u\n"
       "jackdaw_target_connections %u\njackdaw_target_connections_opened_total "
       "%" G_GUINT64_FORMAT "\njackdaw_caller_connections %u\n"
       "jackdaw_configuration_version %" G_GINT64_FORMAT "\n"
       "jackdaw_records_age_seconds %.3f\njackdaw_reads_store %d\n"
       "jackdaw_removals_held %d\njackdaw_log_lines_lost_total %" G_GUINT64_FORMAT "\n",
       host->requests.length, host->host_count, jd_replica_registry_count (host->registry),
-      faults.hinted, faults.ejected, jd_replica_links_open_count (host->links),
+      faults.hinted, faults.ejected, notices.leaving, notices.paused,
+      jd_replica_links_open_count (host->links),
       jd_replica_links_opened_total (host->links),
       jd_caller_server_connection_count (host->caller_server),
       host->routes ? host->routes->version : 0,
--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -11,9 +11,10 @@
 /* Deadline of a request whose caller states none. */
 #define DEFAULT_DEADLINE_US (10 * JD_US_PER_S)
 /* Retry-After times of rejected requests. The minimum is short because another host or
- * replica can often serve the request at once; a configuration takes longer to arrive. */
+ * replica can often serve the request at once; a configuration takes longer to arrive.
+ * The unknown time is for requests whose targets are gone until a record changes. */
 #define RETRY_AFTER_MIN_US (30 * JD_US_PER_MS)
-#define RETRY_AFTER_NOT_RUN_MAX_US (500 * JD_US_PER_MS)
+#define RETRY_AFTER_UNKNOWN_US (500 * JD_US_PER_MS)
 #define RETRY_AFTER_NO_CONFIGURATION_US (250 * JD_US_PER_MS)
 #define RETRY_AFTER_MAX_US (5 * JD_US_PER_S)
 /* Retry-After time of a request rejected for load, in latency objectives of its route.
@@ -55,6 +56,7 @@
     [JD_REPLICA_TIMED_OUT] = "timeout",
     [JD_REPLICA_ABANDONED] = "abandoned",
     [JD_REPLICA_REPLACED] = "replaced",
+    [JD_REPLICA_PAUSED] = "paused",
   };
   return names[outcome];
 }
@@ -242,6 +244,17 @@
   g_string_free (body, TRUE);
 }
 
+/* Returns the Retry-After time of a request that no target can get at present: the time
+ * until one can. */
+static int64_t
+not_run_retry_after_us (const jd_fanout_t *fanout)
+{
+  int64_t servable_in_us = jd_fanout_servable_in_us (fanout, jd_monotonic_us ());
+  if (servable_in_us == INT64_MAX)
+    return RETRY_AFTER_UNKNOWN_US;
+  return CLAMP (servable_in_us, RETRY_AFTER_MIN_US, RETRY_AFTER_MAX_US);
+}
+
 /* Sends the answer for a verdict. A failure response is passed on if the target ran the
  * request, not if it refused it. */
 static void
@@ -283,10 +296,8 @@
       return;
     case JD_FANOUT_NOT_RUN:
       record_end (request, JD_HOST_END_NOT_RUN, 503);
-      jd_caller_answer_status (
-          request->caller, 503,
-          CLAMP (jd_fanout_servable_in_us (request->fanout, jd_monotonic_us ()),
-                 RETRY_AFTER_MIN_US, RETRY_AFTER_NOT_RUN_MAX_US));
+      jd_caller_answer_status (request->caller, 503,
+                               not_run_retry_after_us (request->fanout));
       return;
     }
 }
--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -1,5 +1,7 @@
 #include "routing/fanout.h"
 
+#include <stdlib.h>
+
 #include "base/clock.h"
 #include "base/invariant.h"
 
@@ -24,6 +26,9 @@
 #define ANSWER_MARGIN_US (10 * JD_US_PER_MS)
 /* A partial answer is not sent before this share of the objective. */
 #define EARLY_SHARE_MIN 0.5
+/* A caller need not wait for the end of an ejection, because another host may reach the
+ * replica. */
+#define EJECTED_WAIT_MAX_US (500 * JD_US_PER_MS)
 /* No further attempt is made with less time than this until the deadline. */
 #define ATTEMPT_MIN_US (3 * JD_US_PER_MS)
 #define NEVER_US INT64_MAX
@@ -116,7 +121,7 @@
 }
 
 /* Returns the time until a replica of a part may get a request; 0 if one may now,
- * INT64_MAX if all its replicas are removed, draining or in a drained zone. */
+ * INT64_MAX if all its replicas are removed, leaving or in a drained zone. */
 static int64_t
 part_servable_in_us (const jd_fanout_part_t *part, int64_t now_us)
 {
@@ -124,21 +129,35 @@
   for (guint i = 0; i < part->pool->replicas->len; i++)
     {
       const jd_replica_t *replica = part->pool->replicas->pdata[i];
-      if (jd_replica_is_usable (replica, NEVER_US))
-        earliest_us = MIN (earliest_us, MAX (replica->ejected_until_us - now_us, 0));
+      int64_t ejected_us = MAX (replica->ejected_until_us - now_us, 0);
+      int64_t open_in_us = jd_replica_open_in_us (replica, now_us);
+      earliest_us =
+          MIN (earliest_us, MAX (open_in_us, MIN (ejected_us, EJECTED_WAIT_MAX_US)));
     }
   return earliest_us;
 }
 
-/* Returns the time until every part has a replica that may get a request; 0 if that is
- * now, INT64_MAX if a part has none. */
+/* Sort callback: orders times. */
+static int
+compare_times (const void *a, const void *b)
+{
+  int64_t left = *(const int64_t *)a, right = *(const int64_t *)b;
+  return (left > right) - (left < right);
+}
+
+/* Returns the time until enough parts for an answer have a replica that may get a
+ * request; 0 if that is now, INT64_MAX if no such time is known. */
 int64_t
 jd_fanout_servable_in_us (const jd_fanout_t *fanout, int64_t now_us)
 {
-  int64_t latest_us = 0;
+  int64_t *times_us = g_new (int64_t, fanout->part_count);
   for (uint32_t i = 0; i < fanout->part_count; i++)
-    latest_us = MAX (latest_us, part_servable_in_us (&fanout->parts[i], now_us));
-  return latest_us;
+    times_us[i] = part_servable_in_us (&fanout->parts[i], now_us);
+  qsort (times_us, fanout->part_count, sizeof (*times_us), compare_times);
+  int64_t servable_in_us =
+      fanout->needed_parts > 0 ? times_us[fanout->needed_parts - 1] : 0;
+  g_free (times_us);
+  return servable_in_us;
 }
 
 /* Ends the request and invokes the finish callback. */
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -61,17 +61,47 @@
   if (!replica || --replica->references > 0)
     return;
   jd_replica_pool_unref (replica->pool);
+  jd_target_notice_unref (replica->notice);
   g_free (replica->id);
   g_free (replica->zone);
   g_free (replica);
 }
 
-/* Returns TRUE if new requests may be sent to the replica. */
+/* Returns TRUE if the published records allow requests to the replica. */
+static bool
+is_published_for_use (const jd_replica_t *replica)
+{
+  return !replica->removed && !replica->draining && !replica->zone_drained;
+}
+
+/* Returns whether new requests may be sent to the replica, by the published records and
+ * by what the target said about itself. Ejection is not taken into account. */
+jd_target_access_t
+jd_replica_access (const jd_replica_t *replica, int64_t now_us)
+{
+  if (!is_published_for_use (replica))
+    return JD_TARGET_ACCESS_CLOSED;
+  return jd_target_notice_access (replica->notice, replica->drain_limit_us, now_us);
+}
+
+/* Returns the time until new requests may be sent to the replica, 0 if they may now;
+ * INT64_MAX if no end of the present state is known. Ejection is not taken into account.
+ */
+int64_t
+jd_replica_open_in_us (const jd_replica_t *replica, int64_t now_us)
+{
+  if (!is_published_for_use (replica))
+    return INT64_MAX;
+  return jd_target_notice_open_in_us (replica->notice, replica->drain_limit_us, now_us);
+}
+
+/* Returns TRUE if new requests may be sent to the replica and there is no reason to avoid
+ * it. */
 bool
 jd_replica_is_usable (const jd_replica_t *replica, int64_t now_us)
 {
-  return !replica->removed && !replica->draining && !replica->zone_drained &&
-         replica->ejected_until_us <= now_us;
+  return replica->ejected_until_us <= now_us &&
+         jd_replica_access (replica, now_us) == JD_TARGET_ACCESS_OPEN;
 }
 
 /* Decays the observations by their age. */
@@ -181,6 +211,8 @@
       failed = 1.0;
       replica->consecutive_failures++;
       break;
+    case JD_REPLICA_PAUSED:
+      return; /* Nothing was sent. */
     case JD_REPLICA_SHED:
       failed = 0.5; /* A target that sheds load is busy, not faulty. */
       break;
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -8,6 +8,7 @@
 #include "routing/cold_share.h"
 #include "routing/extra_pool.h"
 #include "routing/hedge_budget.h"
+#include "routing/target_notice.h"
 
 typedef struct jd_replica_pool jd_replica_pool_t;
 
@@ -22,6 +23,7 @@
   JD_REPLICA_TIMED_OUT,   /* No answer arrived before the timeout. */
   JD_REPLICA_ABANDONED,   /* The request was cancelled before the answer arrived. */
   JD_REPLICA_REPLACED,    /* Another target now uses the address. */
+  JD_REPLICA_PAUSED,      /* Not sent, because the target asked for a pause meanwhile. */
 } jd_replica_outcome_t;
 
 /* The published entry of one target. */
@@ -49,7 +51,9 @@
   int64_t cold_until_us;
   uint32_t slots;
   bool draining;
-  bool removed; /* No longer published; gets no new requests. */
+  bool removed;               /* No longer published; gets no new requests. */
+  jd_target_notice_t *notice; /* What the target said about itself. */
+  int64_t drain_limit_us;     /* Time for which a leaving target may still be used. */
   bool local_zone;
   bool zone_drained;        /* Its zone gets no new requests. */
   bool in_connection_quota; /* This host has a connection quota at it. */
@@ -99,6 +103,8 @@
 jd_replica_t *jd_replica_ref (jd_replica_t *replica);
 void jd_replica_unref (jd_replica_t *replica);
 void jd_replica_pool_unref (jd_replica_pool_t *pool);
+jd_target_access_t jd_replica_access (const jd_replica_t *replica, int64_t now_us);
+int64_t jd_replica_open_in_us (const jd_replica_t *replica, int64_t now_us);
 bool jd_replica_is_usable (const jd_replica_t *replica, int64_t now_us);
 void jd_replica_observe (jd_replica_t *replica, jd_replica_outcome_t outcome,
                          int64_t elapsed_us, int64_t typical_latency_us, int64_t now_us);
--- a/src/routing/replica_choice.c
+++ b/src/routing/replica_choice.c
@@ -125,21 +125,44 @@
          !jd_cold_quota_has_grant (&replica->cold_quota, now_us);
 }
 
-/* Returns the untried usable replica with the lowest expected duration, or NULL. If
- * ejected is TRUE, ejected replicas that can be reached are included. */
+/* Replicas to choose from. */
+typedef enum jd_choice_stage
+{
+  STAGE_USABLE,
+  STAGE_LEAVING, /* Targets that said that they are leaving, within the drain limit. */
+  STAGE_EJECTED, /* Replicas that were ejected for failed answers. */
+} jd_choice_stage_t;
+
+/* Returns TRUE if a replica may be chosen at a stage. Unreachable replicas never are. */
+static bool
+is_candidate (const jd_replica_t *replica, jd_choice_stage_t stage, int64_t now_us)
+{
+  jd_target_access_t access = jd_replica_access (replica, now_us);
+  bool is_ejected = replica->ejected_until_us > now_us;
+  switch (stage)
+    {
+    case STAGE_USABLE:
+      return access == JD_TARGET_ACCESS_OPEN && !is_ejected;
+    case STAGE_LEAVING:
+      return access == JD_TARGET_ACCESS_LAST_RESORT && !is_ejected;
+    case STAGE_EJECTED:
+      return access != JD_TARGET_ACCESS_CLOSED && !replica->unreachable;
+    }
+  return false;
+}
+
+/* Returns the untried replica of a stage with the lowest expected duration, or NULL. */
 static jd_replica_t *
 choose_cheapest (const jd_replica_pool_t *pool, const jd_replica_criteria_t *criteria,
-                 bool include_ejected, int64_t now_us)
+                 jd_choice_stage_t stage, int64_t now_us)
 {
   jd_replica_t *best = NULL;
   int64_t best_cost_us = INT64_MAX;
   for (guint i = 0; i < pool->replicas->len; i++)
     {
       jd_replica_t *replica = pool->replicas->pdata[i];
-      int64_t usable_at_us =
-          include_ejected && !replica->unreachable ? INT64_MAX : now_us;
-      if (!jd_replica_is_usable (replica, usable_at_us) ||
-          was_tried (criteria, replica) || is_cold_and_limited (replica, now_us))
+      if (!is_candidate (replica, stage, now_us) || was_tried (criteria, replica) ||
+          is_cold_and_limited (replica, now_us))
         continue;
       uint32_t tie = (criteria->salt + i * 97U) % TIE_SPAN_US;
       int64_t cost_us = jd_replica_expected_latency_us (replica, criteria, now_us) + tie;
@@ -152,13 +175,15 @@
   return best;
 }
 
-/* Returns the untried usable replica that is expected to answer first, or NULL. A replica
- * that was ejected for failed answers is chosen if there is no other; an unreachable one
- * is never chosen. */
+/* Returns the untried usable replica that is expected to answer first, or NULL. Only if
+ * there is none, a leaving target is chosen, and after that a replica that was ejected
+ * for failed answers; an unreachable one is never chosen. */
 jd_replica_t *
 jd_replica_choose (const jd_replica_pool_t *pool, const jd_replica_criteria_t *criteria,
                    int64_t now_us)
 {
-  jd_replica_t *best = choose_cheapest (pool, criteria, false, now_us);
-  return best ? best : choose_cheapest (pool, criteria, true, now_us);
+  jd_replica_t *best = NULL;
+  for (int stage = STAGE_USABLE; !best && stage <= STAGE_EJECTED; stage++)
+    best = choose_cheapest (pool, criteria, (jd_choice_stage_t)stage, now_us);
+  return best;
 }
--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -9,14 +9,22 @@
 
 /* Messages between hosts identify targets and services by hashes with this seed. */
 #define ID_HASH_SEED UINT64_C (0x74)
+/* The notice of a removed target is kept for this long, in case its record returns. A
+ * leaving target may serve for many seconds after its record was removed, and a store
+ * that was down lists live targets again later. */
+#define NOTICE_RETENTION_US (600 * JD_US_PER_S)
+/* Until the settings are known. */
+#define DEFAULT_DRAIN_LIMIT_US (3 * JD_US_PER_S)
 
 struct jd_replica_registry
 {
   char *local_zone;
   jd_replica_events_t events;
-  GHashTable *by_id;         /* id -> jd_replica_t */
-  GHashTable *by_service;    /* service -> jd_replica_pool_t */
-  GHashTable *drained_zones; /* set of zones */
+  GHashTable *by_id;          /* id -> jd_replica_t */
+  GHashTable *by_service;     /* service -> jd_replica_pool_t */
+  GHashTable *drained_zones;  /* set of zones */
+  GHashTable *former_notices; /* id -> jd_target_notice_t of a removed target */
+  int64_t drain_limit_us;
   uint32_t hosts;
   uint32_t rank;
 };
@@ -35,6 +43,13 @@
   jd_replica_unref (data);
 }
 
+/* Hash table callback: drops the table's reference to a notice. */
+static void
+free_notice (gpointer data)
+{
+  jd_target_notice_unref (data);
+}
+
 /* Creates an empty registry for a host in local_zone. Copies local_zone and events. */
 jd_replica_registry_t *
 jd_replica_registry_new (const char *local_zone, const jd_replica_events_t *events)
@@ -45,6 +60,9 @@
   registry->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_replica);
   registry->by_service = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_pool);
   registry->drained_zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  registry->former_notices =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_notice);
+  registry->drain_limit_us = DEFAULT_DRAIN_LIMIT_US;
   registry->hosts = 1;
   return registry;
 }
@@ -56,6 +74,7 @@
   g_hash_table_destroy (registry->by_id);
   g_hash_table_destroy (registry->by_service);
   g_hash_table_destroy (registry->drained_zones);
+  g_hash_table_destroy (registry->former_notices);
   g_free (registry->local_zone);
   g_free (registry);
 }
@@ -120,11 +139,15 @@
   return strcmp ((*left)->id, (*right)->id);
 }
 
-/* Removes a replica that is in the registry and drops the registry's reference to it. */
+/* Removes a replica that is in the registry and drops the registry's reference to it. Its
+ * notice is kept. */
 static void
-remove_replica (jd_replica_registry_t *registry, jd_replica_t *replica)
+remove_replica (jd_replica_registry_t *registry, jd_replica_t *replica, int64_t now_us)
 {
   replica->removed = true;
+  replica->notice->removed_us = now_us;
+  g_hash_table_replace (registry->former_notices, g_strdup (replica->id),
+                        jd_target_notice_ref (replica->notice));
   jd_replica_pool_t *pool = replica->pool;
   g_ptr_array_remove (pool->replicas, replica);
   assign_connection_quotas (registry, pool);
@@ -142,6 +165,34 @@
          strcmp (replica->pool->service, spec->service) != 0;
 }
 
+/* Returns a new reference to the notice of the process that a record names: the one from
+ * before the removal of the record if it still applies, or an empty one. */
+static jd_target_notice_t *
+find_notice (jd_replica_registry_t *registry, const jd_replica_spec_t *spec)
+{
+  const jd_target_process_t process = { .born_ms = spec->born_ms,
+                                        .address = spec->address };
+  jd_target_notice_t *former = g_hash_table_lookup (registry->former_notices, spec->id);
+  if (!former)
+    return jd_target_notice_new (&process);
+  jd_target_notice_t *notice = NULL;
+  if (jd_target_notice_applies (former, &process))
+    {
+      notice = jd_target_notice_ref (former);
+      notice->removed_us = 0;
+    }
+  else
+    {
+      notice = jd_target_notice_new (&process);
+      if (former->leaving_since_us != 0)
+        jd_log_event (G_LOG_LEVEL_INFO, "target_leaving_ended",
+                      "target=%s cause=replaced born_ms=%" G_GINT64_FORMAT, spec->id,
+                      spec->born_ms);
+    }
+  g_hash_table_remove (registry->former_notices, spec->id);
+  return notice;
+}
+
 /* Adds a replica that is not registered yet. The registry owns it. */
 static jd_replica_t *
 add_replica (jd_replica_registry_t *registry, const jd_replica_spec_t *spec)
@@ -152,6 +203,8 @@
   replica->zone = g_strdup (spec->zone);
   replica->address = spec->address;
   replica->born_ms = spec->born_ms;
+  replica->notice = find_notice (registry, spec);
+  replica->drain_limit_us = registry->drain_limit_us;
   replica->latency_ratio = 1.0;
   replica->id_hash = (uint32_t)jd_hash_text (spec->id, ID_HASH_SEED);
   replica->local_zone = strcmp (spec->zone, registry->local_zone) == 0;
@@ -174,7 +227,7 @@
   jd_replica_t *replica = g_hash_table_lookup (registry->by_id, spec->id);
   if (replica && is_other_process (replica, spec))
     {
-      remove_replica (registry, replica);
+      remove_replica (registry, replica, now_us);
       replica = NULL;
     }
   bool is_new = !replica;
@@ -200,14 +253,48 @@
 
 /* Removes the replica of an id that is no longer published, if it is registered. */
 void
-jd_replica_registry_remove (jd_replica_registry_t *registry, const char *id)
+jd_replica_registry_remove (jd_replica_registry_t *registry, const char *id,
+                            int64_t now_us)
 {
   jd_replica_t *replica = g_hash_table_lookup (registry->by_id, id);
   if (!replica)
     return;
   jd_log_event (G_LOG_LEVEL_INFO, "target_gone", "target=%s service=%s", replica->id,
                 replica->pool->service);
-  remove_replica (registry, replica);
+  remove_replica (registry, replica, now_us);
+}
+
+/* Sets the time for which a target may still be used, as a last resort, after it said
+ * that it is leaving. */
+void
+jd_replica_registry_set_drain_limit (jd_replica_registry_t *registry,
+                                     int64_t drain_limit_us)
+{
+  registry->drain_limit_us = drain_limit_us;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, registry->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((jd_replica_t *)value)->drain_limit_us = drain_limit_us;
+}
+
+/* Forgets the notices of targets that were removed long ago. */
+void
+jd_replica_registry_expire_notices (jd_replica_registry_t *registry, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer key, value;
+  g_hash_table_iter_init (&iter, registry->former_notices);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const jd_target_notice_t *notice = value;
+      if (now_us - notice->removed_us < NOTICE_RETENTION_US)
+        continue;
+      if (notice->leaving_since_us != 0)
+        jd_log_event (G_LOG_LEVEL_INFO, "target_leaving_ended", "target=%s cause=gone",
+                      (const char *)key);
+      g_hash_table_iter_remove (&iter);
+    }
 }
 
 /* Stops new requests to the targets of a zone, or allows them again. */
--- a/src/routing/replica_registry.h
+++ b/src/routing/replica_registry.h
@@ -21,9 +21,13 @@
                                              const char *service);
 void jd_replica_registry_put (jd_replica_registry_t *registry,
                               const jd_replica_spec_t *spec, int64_t now_us);
-void jd_replica_registry_remove (jd_replica_registry_t *registry, const char *id);
+void jd_replica_registry_remove (jd_replica_registry_t *registry, const char *id,
+                                 int64_t now_us);
 void jd_replica_registry_set_zone_drained (jd_replica_registry_t *registry,
                                            const char *zone, bool drained);
+void jd_replica_registry_set_drain_limit (jd_replica_registry_t *registry,
+                                          int64_t drain_limit_us);
+void jd_replica_registry_expire_notices (jd_replica_registry_t *registry, int64_t now_us);
 void jd_replica_registry_set_hosts (jd_replica_registry_t *registry, uint32_t hosts,
                                     uint32_t rank);
 void jd_replica_registry_each (jd_replica_registry_t *registry,
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/log_event.h"
+#include "base/rng.h"
 #include "routing/connection_share.h"
 
 #define READ_BYTES (16 * 1024)
@@ -75,6 +76,7 @@
   GQueue waiting; /* Exchanges that wait for a connection. */
   uint32_t opening_count;
   int64_t open_after_us; /* No connection is opened before this time. */
+  uint32_t users;        /* Callers further up the stack that use the link. */
   bool retired;
 };
 
@@ -100,6 +102,7 @@
   uint32_t host_count;
   uint32_t open_count;
   uint64_t opened_total;
+  jd_philox_t random;
 };
 
 static void start_waiting_exchanges (jd_link_t *link);
@@ -171,11 +174,12 @@
     owner.on_done (owner.context, owner.tag, link->replica, result);
 }
 
-/* Frees a retired link without connections and waiting exchanges. */
+/* Frees a retired link without connections, waiting exchanges and users. */
 static void
 free_link_if_unused (jd_link_t *link)
 {
-  if (!link->retired || link->connections.length > 0 || link->waiting.length > 0)
+  if (!link->retired || link->connections.length > 0 || link->waiting.length > 0 ||
+      link->users > 0)
     return;
   g_queue_unlink (&link->links->all, &link->node);
   link->replica->link = NULL;
@@ -212,12 +216,78 @@
   ev_io_start (loop, &connection->io);
 }
 
+/* Ends all exchanges that wait for a connection with the outcome, as not sent. The link
+ * must be in use. */
+static void
+fail_waiting_exchanges (jd_link_t *link, jd_replica_outcome_t outcome)
+{
+  /* The owners may cancel exchanges and add new ones meanwhile. */
+  for (guint left = link->waiting.length; left > 0 && link->waiting.head; left--)
+    {
+      jd_exchange_t *exchange = link->waiting.head->data;
+      g_queue_unlink (&link->waiting, &exchange->node);
+      jd_exchange_result_t result = { .outcome = outcome };
+      finish_exchange (exchange, &result);
+    }
+}
+
+/* Records what a target said about itself in an answer whose head is complete, also if
+ * nobody waits for the answer any more. An answer with status 421 is of another target.
+ */
+static void
+record_target_notice (jd_link_t *link, const jd_http_reader_t *reader, int64_t now_us)
+{
+  uint32_t status = reader->parser.status_code;
+  if (!reader->head_complete || status < 200 || status == 421)
+    return;
+  jd_replica_t *replica = link->replica;
+  const char *leaving =
+      jd_http_reader_value (reader, link->links->options.fields.leaving);
+  if (leaving && strcmp (leaving, "1") == 0 &&
+      jd_target_notice_set_leaving (replica->notice, now_us))
+    jd_log_event (G_LOG_LEVEL_INFO, "target_leaving",
+                  "target=%s service=%s born_ms=%" G_GINT64_FORMAT
+                  " drain_limit_ms=%" G_GINT64_FORMAT,
+                  replica->id, replica->pool->service, replica->born_ms,
+                  replica->drain_limit_us / JD_US_PER_MS);
+  const char *pause = jd_http_reader_value (reader, "Retry-After");
+  if (status != 503 || !pause)
+    return;
+  int64_t duration_us = 0;
+  if (!jd_target_notice_parse_pause (pause, &duration_us))
+    {
+      jd_log_event (G_LOG_LEVEL_INFO, "pause_unreadable", "target=%s service=%s",
+                    replica->id, replica->pool->service);
+      return;
+    }
+  jd_rng_t rng = jd_philox_rng (&link->links->random);
+  if (jd_target_notice_set_pause (replica->notice, duration_us, jd_rng_unit (&rng),
+                                  now_us))
+    jd_log_event (G_LOG_LEVEL_INFO, "target_paused",
+                  "target=%s service=%s asked_ms=%" G_GINT64_FORMAT
+                  " for_ms=%" G_GINT64_FORMAT,
+                  replica->id, replica->pool->service, duration_us / JD_US_PER_MS,
+                  (replica->notice->return_at_us - now_us) / JD_US_PER_MS);
+}
+
+/* Ends the exchanges that wait for a connection to a target that wants no requests, so
+ * that they are sent to others. The link must be in use. */
+static void
+release_waiting_exchanges (jd_link_t *link)
+{
+  if (link->waiting.head &&
+      jd_target_notice_access (link->replica->notice, INT64_MAX, jd_monotonic_us ()) ==
+          JD_TARGET_ACCESS_CLOSED)
+    fail_waiting_exchanges (link, JD_REPLICA_PAUSED);
+}
+
 /* Closes an open connection that failed. Its exchange, if any, ends with the outcome as
- * one that the target may have run. */
+ * one that the target may have run. The link may be freed. */
 static void
 fail_connection (jd_connection_t *connection, jd_replica_outcome_t outcome)
 {
   jd_link_t *link = connection->link;
+  link->users++;
   jd_exchange_t *exchange = connection->exchange;
   int64_t now_us = jd_monotonic_us ();
   bool is_over_limit = !exchange &&
@@ -225,7 +295,10 @@
                        now_us - connection->opened_us < OVER_LIMIT_CLOSE_US;
   connection->exchange = NULL;
   if (exchange)
-    connection->state = CONNECTION_IDLE; /* A busy connection always has an exchange. */
+    {
+      connection->state = CONNECTION_IDLE; /* A busy connection always has an exchange. */
+      record_target_notice (link, &connection->reader, now_us);
+    }
   close_connection (connection);
   if (is_over_limit)
     {
@@ -243,25 +316,12 @@
       };
       finish_exchange (exchange, &result);
     }
+  release_waiting_exchanges (link);
   start_waiting_exchanges (link);
+  link->users--;
   free_link_if_unused (link);
 }
 
-/* Ends all exchanges that wait for a connection with the outcome, as not sent. */
-static void
-fail_waiting_exchanges (jd_link_t *link, jd_replica_outcome_t outcome)
-{
-  GQueue failed = link->waiting;
-  g_queue_init (&link->waiting);
-  GList *next = NULL;
-  for (GList *item = failed.head; item; item = next)
-    {
-      next = item->next;
-      jd_exchange_result_t result = { .outcome = outcome };
-      finish_exchange (item->data, &result);
-    }
-}
-
 /* Handles a connection that could not be opened. Waiting exchanges fail if the replica
  * has no other connection. The link may be freed. */
 static void
@@ -270,11 +330,13 @@
   jd_link_t *link = connection->link;
   jd_log_event (G_LOG_LEVEL_INFO, "target_unreachable", "target=%s service=%s cause=%s",
                 link->replica->id, link->replica->pool->service, cause);
+  link->users++;
   close_connection (connection);
   jd_replica_observe (link->replica, JD_REPLICA_UNREACHABLE, 0, 0, jd_monotonic_us ());
   bool has_other_connections = link->connections.length > 0;
   if (!has_other_connections)
     fail_waiting_exchanges (link, JD_REPLICA_UNREACHABLE);
+  link->users--;
   free_link_if_unused (link);
 }
 
@@ -503,10 +565,12 @@
                    !connection->close_after_answer &&
                    connection->output_sent == connection->output->len && !link->retired &&
                    result.outcome != JD_REPLICA_REPLACED;
+  link->users++;
   connection->exchange = NULL;
   connection->state = CONNECTION_IDLE;
   connection->state_since_us = now_us;
   record_target_load (link, &connection->reader, now_us);
+  record_target_notice (link, &connection->reader, now_us);
   if (keep_open)
     {
       /* Use the most recent connection first, so that spare ones reach their idle
@@ -523,7 +587,9 @@
   connection->state = CONNECTION_IDLE;
   if (!keep_open)
     close_connection (connection);
+  release_waiting_exchanges (link);
   start_waiting_exchanges (link);
+  link->users--;
   free_link_if_unused (link);
 }
 
@@ -564,6 +630,8 @@
           jd_log_event (G_LOG_LEVEL_INFO, "reply_of_other_request", "id=%s target=%s",
                         connection->exchange->outgoing->id,
                         connection->link->replica->id);
+          record_target_notice (connection->link, &connection->reader,
+                                jd_monotonic_us ());
           connection->close_after_answer = true;
         }
       if (++connection->skipped_replies > SKIPPED_REPLIES_MAX ||
@@ -735,7 +803,9 @@
 static bool
 should_keep_connection (const jd_replica_t *replica, int64_t now_us)
 {
-  if (!replica->in_connection_quota || replica->zone_drained || replica->draining)
+  if (!replica->in_connection_quota ||
+      jd_replica_access (replica, now_us) == JD_TARGET_ACCESS_LAST_RESORT ||
+      jd_replica_open_in_us (replica, now_us) == INT64_MAX)
     return false;
   if (replica->keeps_connection)
     return true;
@@ -815,7 +885,11 @@
         continue;
       jd_replica_t *replica = link->replica;
       bool keep_open = should_keep_connection (replica, now_us);
-      bool may_connect = !replica->unreachable || replica->ejected_until_us <= now_us;
+      bool may_connect = (!replica->unreachable || replica->ejected_until_us <= now_us) &&
+                         jd_replica_access (replica, now_us) == JD_TARGET_ACCESS_OPEN;
+      if (jd_target_notice_end_pause (replica->notice, now_us))
+        jd_log_event (G_LOG_LEVEL_INFO, "target_pause_ended", "target=%s service=%s",
+                      replica->id, replica->pool->service);
       if (link->connections.length == 0 && keep_open && may_connect && is_warmed_up &&
           now_us >= link->open_after_us)
         open_connection (link);
@@ -830,6 +904,7 @@
   links->options = *options;
   links->host_count = 1;
   links->started_us = jd_monotonic_us ();
+  links->random.seed = jd_entropy ();
   g_queue_init (&links->all);
   ev_timer_init (&links->maintenance, on_maintenance, MAINTENANCE_INTERVAL_S,
                  MAINTENANCE_INTERVAL_S);
@@ -931,11 +1006,10 @@
       if (connection->state != CONNECTION_BUSY)
         close_connection (connection);
     }
-  jd_replica_ref (replica);
+  link->users++;
   fail_waiting_exchanges (link, JD_REPLICA_REPLACED);
-  if (replica->link)
-    free_link_if_unused (link);
-  jd_replica_unref (replica);
+  link->users--;
+  free_link_if_unused (link);
 }
 
 /* Returns the number of connections that are open or being opened. */
--- a/src/transport/replica_links.h
+++ b/src/transport/replica_links.h
@@ -21,6 +21,7 @@
   const char *not_run;   /* Present if the target did not run the request. */
   const char *load;      /* "running,waiting,slots" */
   const char *cold_ms;   /* Remaining time for which the target is cold. */
+  const char *leaving;   /* "1" in each answer of a target that is leaving. */
 } jd_target_fields_t;
 
 /* The bytes of a request to targets; shared by all attempts for one caller request. */
--- a/test/process/test_host.c
+++ b/test/process/test_host.c
@@ -324,6 +324,153 @@
   jd_host_fixture_close (&fixture);
 }
 
+/* Gives both targets of service studio the same faults. */
+static void
+set_studio_faults (jd_host_fixture_t *fixture, const jd_shard_faults_t *faults)
+{
+  for (size_t i = STUDIO; i < STUDIO + 2; i++)
+    jd_shard_target_set_faults (fixture->targets[i].target, faults);
+}
+
+/* Returns how many requests the targets of service studio ran. */
+static uint32_t
+studio_runs (const jd_host_fixture_t *fixture)
+{
+  return jd_shard_target_total_run_count (fixture->targets[STUDIO].target) +
+         jd_shard_target_total_run_count (fixture->targets[STUDIO + 1].target);
+}
+
+/* Checks that jackdawctl lists both targets of service studio as leaving, with the time
+ * since they said so, which is over three seconds ago. */
+static void
+check_targets_command (const jd_host_fixture_t *fixture)
+{
+  const char *directory = g_getenv ("JACKDAW_BUILD_DIR");
+  char *line = g_strdup_printf ("%s/jackdawctl targets --metrics=http://%s:%u/metrics",
+                                directory ? directory : "build", fixture->hosts[0].ip,
+                                fixture->hosts[0].metrics_port);
+  char *output = NULL;
+  CU_ASSERT_TRUE_FATAL (g_spawn_command_line_sync (line, &output, NULL, NULL, NULL));
+  for (size_t i = STUDIO; i < STUDIO + 2; i++)
+    {
+      char *start =
+          g_strdup_printf ("target=%s state=leaving age_s=", fixture->targets[i].id);
+      const char *found = strstr (output, start);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (found);
+      CU_ASSERT_TRUE (g_ascii_strtod (found + strlen (start), NULL) > 3.0);
+      g_free (start);
+    }
+  g_free (output);
+  g_free (line);
+}
+
+/* Guards against requests to a target that says in its answers that it is leaving, while
+ * its record still says that it is ready: others are used at once, as the last one it is
+ * used until the drain limit of 3 s, and after that callers are rejected at once. A new
+ * process under the same id is used again; the return of the old record changes nothing.
+ */
+static void
+leaving_targets_get_no_requests (void)
+{
+  jd_host_fixture_t fixture = { 0 };
+  jd_host_fixture_open (&fixture, 1, SHARDS);
+  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, 0, 5.0));
+  CU_ASSERT_TRUE (
+      wait_for_status (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY, 200, 5.0));
+  jd_shard_faults_t faults = { .delay_us = 3000, .says_leaving = true };
+  jd_shard_target_set_faults (fixture.targets[STUDIO].target, &faults);
+  uint32_t before = jd_shard_target_total_run_count (fixture.targets[STUDIO].target);
+  for (int i = 0; i < 40; i++)
+    CU_ASSERT_EQUAL (status_of (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY), 200);
+  CU_ASSERT_TRUE (jd_shard_target_total_run_count (fixture.targets[STUDIO].target) <=
+                  before + 1);
+  set_studio_faults (&fixture, &faults);
+  int64_t told_us = jd_monotonic_us ();
+  CU_ASSERT_EQUAL (status_of (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY), 200);
+  CU_ASSERT_EQUAL (status_of (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY), 200);
+  int64_t waited_us = jd_monotonic_us () - told_us;
+  jd_host_fixture_run (&fixture, 3.2 - (double)waited_us / (double)JD_US_PER_S);
+  jd_host_fixture_publish_target (&fixture, STUDIO, NULL);
+  jd_host_fixture_run (&fixture, 1.5);
+  jd_host_fixture_publish_target (&fixture, STUDIO, "ready");
+  jd_host_fixture_run (&fixture, 1.5);
+  before = studio_runs (&fixture);
+  int64_t start_us = jd_monotonic_us ();
+  jd_host_fixture_reply_t *reply =
+      call (&fixture, 0, "GET", "/fetch/1", "all-left", JD_HOST_FIXTURE_KEY);
+  CU_ASSERT_EQUAL (reply->status, 503);
+  CU_ASSERT_PTR_NOT_NULL (reply->retry_after);
+  CU_ASSERT_TRUE (jd_monotonic_us () - start_us < 100 * JD_US_PER_MS);
+  jd_host_fixture_reply_free (reply);
+  CU_ASSERT_EQUAL (studio_runs (&fixture), before);
+  check_targets_command (&fixture);
+  faults.says_leaving = false;
+  set_studio_faults (&fixture, &faults);
+  jd_host_fixture_restart_target (&fixture, STUDIO);
+  CU_ASSERT_TRUE (
+      wait_for_status (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY, 200, 3.0));
+  jd_host_fixture_close (&fixture);
+}
+
+static void
+count_arrival (void *context, jd_shard_target_t *target,
+               const jd_shard_arrival_t *arrival)
+{
+  (*(uint32_t *)context)++;
+}
+
+/* Guards against requests to a target during the pause that it asked for, against callers
+ * that wait although all targets of a service are paused, and against a Retry-After that
+ * names an earlier time than the end of the pause. */
+static void
+paused_targets_get_no_requests (void)
+{
+  jd_host_fixture_t fixture = { 0 };
+  uint32_t arrivals = 0;
+  jd_host_fixture_open (&fixture, 1, SHARDS);
+  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, 0, 5.0));
+  CU_ASSERT_TRUE (
+      wait_for_status (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY, 200, 5.0));
+  for (size_t i = STUDIO; i < STUDIO + 2; i++)
+    jd_shard_target_set_observer (fixture.targets[i].target, count_arrival, &arrivals);
+  jd_shard_faults_t faults = { .shed_share = 1.0, .pause = "tomorrow" };
+  set_studio_faults (&fixture, &faults);
+  for (int i = 0; i < 4; i++)
+    {
+      uint32_t before = arrivals;
+      CU_ASSERT_EQUAL (status_of (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY), 503);
+      CU_ASSERT_TRUE (arrivals > before);
+    }
+  faults.pause = "1.5";
+  set_studio_faults (&fixture, &faults);
+  int64_t start_us = jd_monotonic_us ();
+  for (int i = 0; i < 2; i++) /* A request need not reach both targets. */
+    CU_ASSERT_EQUAL (status_of (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY), 503);
+  arrivals = 0;
+  while (jd_monotonic_us () - start_us < 1400 * JD_US_PER_MS)
+    {
+      int64_t sent_us = jd_monotonic_us ();
+      int64_t left_us = start_us + 1500 * JD_US_PER_MS - sent_us;
+      jd_host_fixture_reply_t *reply =
+          call (&fixture, 0, "GET", "/fetch/1", "paused", JD_HOST_FIXTURE_KEY);
+      CU_ASSERT_EQUAL (reply->status, 503);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (reply->retry_after);
+      /* The host names the end of the pause as of the time at which it answers. */
+      double least_us = (double)(left_us - (jd_monotonic_us () - sent_us));
+      CU_ASSERT_TRUE (g_ascii_strtod (reply->retry_after, NULL) * (double)JD_US_PER_S >=
+                      MAX (least_us, 0.0) - (double)JD_US_PER_MS);
+      CU_ASSERT_TRUE (jd_monotonic_us () - sent_us < 100 * JD_US_PER_MS);
+      jd_host_fixture_reply_free (reply);
+      jd_host_fixture_run (&fixture, 0.05);
+    }
+  CU_ASSERT_EQUAL (arrivals, 0);
+  faults = (jd_shard_faults_t){ .delay_us = 3000 };
+  set_studio_faults (&fixture, &faults);
+  CU_ASSERT_TRUE (
+      wait_for_status (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY, 200, 2.0));
+  jd_host_fixture_close (&fixture);
+}
+
 typedef struct jd_stop_counts
 {
   uint32_t running;
@@ -501,6 +648,8 @@
     { "a host copies records from another host", host_copies_records_from_another_host },
     { "edits run at most once", edits_run_at_most_once },
     { "searches tolerate faulty answers", searches_tolerate_faulty_answers },
+    { "leaving targets get no requests", leaving_targets_get_no_requests },
+    { "paused targets get no requests", paused_targets_get_no_requests },
     { "a graceful stop answers all requests", graceful_stop_answers_all_requests },
     { "a host without reachable targets is not ready",
       host_without_reachable_targets_is_not_ready },
--- a/test/stand_ins/shard_target.c
+++ b/test/stand_ins/shard_target.c
@@ -53,6 +53,14 @@
   return body;
 }
 
+/* Adds the field of a target that is leaving. */
+static void
+append_notice (const jd_shard_target_t *target, GString *fields)
+{
+  if (target->faults.says_leaving)
+    g_string_append (fields, "Server-Leaving: 1\r\n");
+}
+
 static void
 send_answer (jd_pending_answer_t *pending)
 {
@@ -64,6 +72,7 @@
                           "X-Server-Load: 1,%u,2\r\nKeep-Alive: timeout=5\r\n",
                           pending->request_id, target->id, pending->request_id,
                           target->faults.reported_queue_length);
+  append_notice (target, fields);
   GString *body = render_body (target);
   jd_caller_set_data (caller, NULL);
   jd_caller_answer (caller, pending->status, fields, body->str, body->len);
@@ -114,9 +123,12 @@
 
 /* Answers a request without running it. */
 static void
-refuse (jd_caller_t *caller, uint32_t status, const char *fields_text)
+refuse (const jd_shard_target_t *target, jd_caller_t *caller, uint32_t status)
 {
-  GString *fields = g_string_new (fields_text);
+  GString *fields = g_string_new ("X-Not-Executed: 1\r\n");
+  append_notice (target, fields);
+  if (status == 503 && target->faults.pause)
+    g_string_append_printf (fields, "Retry-After: %s\r\n", target->faults.pause);
   jd_caller_answer (caller, status, fields, "", 0);
   g_string_free (fields, TRUE);
 }
@@ -160,12 +172,12 @@
   const char *tenant = jd_http_reader_value (reader, "X-Tenant");
   if (!id)
     {
-      refuse (caller, 400, "X-Not-Executed: 1\r\n");
+      refuse (target, caller, 400);
       return;
     }
   if (expected && strcmp (expected, target->id) != 0)
     {
-      refuse (caller, 421, "X-Not-Executed: 1\r\n");
+      refuse (target, caller, 421);
       return;
     }
   g_free (target->last_tenant);
@@ -181,7 +193,7 @@
   if (target->observer)
     target->observer (target->observer_context, target, &arrival);
   if (draw < 0.0)
-    refuse (caller, 503, "X-Not-Executed: 1\r\n");
+    refuse (target, caller, 503);
   else
     run_request (target, caller, id, draw);
 }
--- a/test/stand_ins/shard_target.h
+++ b/test/stand_ins/shard_target.h
@@ -21,6 +21,8 @@
   int64_t delay_us;               /* From the arrival of a request to its answer. */
   uint32_t reported_queue_length; /* Queue length that X-Server-Load reports. */
   bool never_answers;             /* Requests run but get no answer. */
+  bool says_leaving;              /* Each answer states that the target is leaving. */
+  const char *pause; /* Retry-After of refusals with 503, a static string; NULL: none. */
 } jd_shard_faults_t;
 
 /* A request that arrived at a target. */
--- a/test/support/broker_lab.c
+++ b/test/support/broker_lab.c
@@ -116,8 +116,9 @@
     g_strdup_printf ("--platform=http://127.0.0.1:%u",
                      jd_platform_port (fixture->platform)),
     g_strdup ("--log-level=warning"),
-    fixture->bootstrap_peers ? g_strdup_printf ("--bootstrap-peers=%s", fixture->bootstrap_peers)
-                             : NULL,
+    fixture->bootstrap_peers
+        ? g_strdup_printf ("--bootstrap-peers=%s", fixture->bootstrap_peers)
+        : NULL,
     NULL,
   };
   fixture->brokers[broker] =
--- a/test/support/host_lab.c
+++ b/test/support/host_lab.c
@@ -419,6 +419,14 @@
   g_free (value);
 }
 
+/* Publishes a target as a new process under its id and address, as after a restart. */
+void
+jd_host_fixture_restart_target (jd_host_fixture_t *fixture, uint32_t index)
+{
+  fixture->targets[index].replacement_count++;
+  jd_host_fixture_publish_target (fixture, index, "ready");
+}
+
 /* Replaces a target by one with a new id at the same address, which is cold for cold_ms.
  * Resets the connections to the old one if there is a relay. */
 void
--- a/test/support/host_lab.h
+++ b/test/support/host_lab.h
@@ -103,6 +103,7 @@
 void jd_host_fixture_publish_config (jd_host_fixture_t *fixture);
 void jd_host_fixture_publish_target (jd_host_fixture_t *fixture, uint32_t index,
                                      const char *state);
+void jd_host_fixture_restart_target (jd_host_fixture_t *fixture, uint32_t index);
 void jd_host_fixture_replace_target (jd_host_fixture_t *fixture, uint32_t index,
                                      uint32_t cold_ms);
 void jd_host_fixture_run (jd_host_fixture_t *fixture, double seconds);
--- a/test/unit/test_replica_choice.c
+++ b/test/unit/test_replica_choice.c
@@ -124,7 +124,7 @@
   CU_ASSERT_PTR_NULL (choose_replica (registry, NULL));
   jd_replica_registry_set_zone_drained (registry, "b", false);
   CU_ASSERT_STRING_EQUAL (choose_replica (registry, NULL)->id, "f");
-  jd_replica_registry_remove (registry, "f");
+  jd_replica_registry_remove (registry, "f", NOW_US);
   CU_ASSERT_PTR_NULL (choose_replica (registry, NULL));
   CU_ASSERT_EQUAL (removed_count, 2);
   jd_replica_registry_free (registry);
