fix(routing): let answers leave early enough for the path of their caller

In seconds 8 to 12 and 34 to 40 nearly all searches ended as partial answers at objective minus 10 ms, and reached their callers 0 to 4 ms after the objective (p50 of rush-batch 119 to 121 ms of 120). Callers are 3 ms away; opening a connection for the request takes one more round trip of 6.4 ms, and reading the request and sending the answer on hosts with an eighth of a core and 20 Mbit/s takes about 3 ms. The shards were there: 129 to 134 of 135 parts, 129 needed. Ruled out: missing replicas (not_run only on the routes that test configurations), the budget of extra attempts (waits of missing parts are pauses and slow targets), the admission gate (no request rejected by it). Change: the margin is a decision of its own, answer_margin: one round trip as the kernel measures it (TCP_INFO), two for a connection that was opened for the request, and 8 ms for the host. The load simulation takes the path of callers; without one, it assumes the 10 ms of before, so its other tests measure what they did.

--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -486,6 +486,7 @@
     .parts = parts,
     .part_count = part_count,
     .deadline_us = deadline_us,
+    .caller_path = jd_caller_path (caller),
     .salt = host->salt++ * 2654435761U,
   };
   jd_fanout_actions_t actions = { .send = on_send,
--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -21,9 +21,6 @@
 #define HEDGE_LATEST_SHARE 0.45
 /* Assumed latency of an attempt, as a share of the objective, while none is recorded. */
 #define UNKNOWN_LATENCY_SHARE 0.2
-/* Time for an answer to reach its caller: twice up to 3 ms of network latency, and the
- * queue of a busy host. */
-#define ANSWER_MARGIN_US (10 * JD_US_PER_MS)
 /* A partial answer is not sent before this share of the objective. */
 #define EARLY_SHARE_MIN 0.5
 /* A caller need not wait for the end of an ejection, because another host may reach the
@@ -74,7 +71,7 @@
   fanout->salt = request->salt;
   fanout->needed_parts = jd_route_needed_parts (request->route, count);
   int64_t objective_us = request->route->objective_us;
-  int64_t early_us = MAX (objective_us - ANSWER_MARGIN_US,
+  int64_t early_us = MAX (objective_us - jd_answer_margin_us (&request->caller_path),
                           (int64_t)((double)objective_us * EARLY_SHARE_MIN));
   fanout->early_us = now_us + early_us;
   for (uint32_t i = 0; i < count; i++)
--- a/src/routing/fanout.h
+++ b/src/routing/fanout.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/answer_margin.h"
 #include "routing/replica_choice.h"
 #include "routing/route_table.h"
 
@@ -72,6 +73,7 @@
   const jd_route_part_t *parts;
   uint32_t part_count;
   int64_t deadline_us;
+  jd_caller_path_t caller_path;
   uint32_t salt;
 } jd_fanout_request_t;
 
--- a/src/transport/caller_server.c
+++ b/src/transport/caller_server.c
@@ -22,6 +22,9 @@
 /* How long input is read and discarded after the last answer. A close with unread bytes
  * would reset the connection, and the caller could lose the answer. */
 #define LINGER_US (2 * JD_US_PER_S)
+/* A request that starts within this time after its connection was accepted is the reason
+ * why the connection was opened. */
+#define OPENED_FOR_REQUEST_US (10 * JD_US_PER_MS)
 #define DEFAULT_HEAD_BYTES (64 * 1024)
 #define DEFAULT_BODY_BYTES (1024 * 1024)
 #define DEFAULT_HEAD_TIMEOUT_US (10 * JD_US_PER_S)
@@ -38,6 +41,8 @@
   GString *output;
   size_t output_sent;
   int64_t phase_started_us; /* Start of the message, of the idle time or of closing. */
+  int64_t accepted_us;      /* 0 once a request was received. */
+  jd_caller_path_t path;    /* Of the last request. */
   void *user_data;
   bool busy;    /* A request has been read and is not answered yet. */
   bool closing; /* Discard input; close the write side once the output is sent. */
@@ -177,6 +182,24 @@
   g_string_append (caller->output, "HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+/* Updates the path of the caller for a complete request. The kernel measures the round
+ * trip when the connection is opened. A connection is new if its first request was sent
+ * with the end of the handshake, and not later on a connection opened in advance. */
+static void
+measure_path (jd_caller_t *caller)
+{
+  caller->path.is_new = false;
+  if (caller->accepted_us == 0)
+    return;
+  struct tcp_info info = { 0 };
+  socklen_t size = sizeof (info);
+  if (getsockopt (caller->fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0)
+    caller->path.round_trip_us = info.tcpi_rtt;
+  caller->path.is_new =
+      caller->phase_started_us - caller->accepted_us <= OPENED_FOR_REQUEST_US;
+  caller->accepted_us = 0;
+}
+
 /* Passes input to the reader, and a complete request to the handler. Stores input beyond
  * the running request until that request is answered. */
 static void
@@ -215,6 +238,7 @@
   if (used < size)
     g_string_append_len (caller->pipelined, data + used, (gssize)(size - used));
   caller->busy = true;
+  measure_path (caller);
   caller->server->handler.on_request (caller->server->handler.context, caller,
                                       &caller->reader);
 }
@@ -327,6 +351,13 @@
     process_pending (caller);
 }
 
+/* Returns the network path of the running request. */
+jd_caller_path_t
+jd_caller_path (const jd_caller_t *caller)
+{
+  return caller->path;
+}
+
 /* Stores a pointer for the code that handles the request. It is cleared by the answer. */
 void
 jd_caller_set_data (jd_caller_t *caller, void *data)
@@ -353,6 +384,7 @@
   caller->pipelined = g_string_new (NULL);
   caller->output = g_string_new (NULL);
   caller->phase_started_us = jd_monotonic_us ();
+  caller->accepted_us = caller->phase_started_us;
   caller->link.data = caller;
   jd_http_reader_init (&caller->reader, HTTP_REQUEST, server->limits.head_bytes,
                        server->limits.body_bytes);
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -2,6 +2,7 @@
 
 #include <ev.h>
 
+#include "routing/answer_margin.h"
 #include "transport/http_reader.h"
 
 /* The connection of a caller. It carries one request at a time. */
@@ -41,6 +42,7 @@
 void jd_caller_server_close_idle (jd_caller_server_t *server);
 uint32_t jd_caller_server_connection_count (const jd_caller_server_t *server);
 
+jd_caller_path_t jd_caller_path (const jd_caller_t *caller);
 void jd_caller_set_data (jd_caller_t *caller, void *data);
 void *jd_caller_data (const jd_caller_t *caller);
 void jd_caller_answer (jd_caller_t *caller, uint32_t status, const GString *fields,
--- a/test/random/test_fanout.c
+++ b/test/random/test_fanout.c
@@ -140,6 +140,36 @@
   CU_ASSERT_TRUE ((with_hints - no_fault) * 3 <= (without_hints - no_fault) * 2);
 }
 
+/* Guards against answers that leave the host within the objective and reach their callers
+ * after it: on a day with many slow targets most answers are partial and leave at the
+ * last moment. 95 in 100 callers get their answer in time, up to a round trip of 20 ms
+ * and on new as on kept connections. */
+static void
+answers_reach_distant_callers_in_time (void)
+{
+  static const uint32_t round_trips_us[] = { 2000, 6000, 20000 };
+  for (size_t i = 0; i < sizeof (round_trips_us) / sizeof (round_trips_us[0]); i++)
+    for (int is_new = 0; is_new <= 1; is_new++)
+      {
+        uint32_t searches = 0, in_time = 0;
+        for (uint64_t seed = 1; seed <= SEEDS; seed++)
+          {
+            jd_search_load_t load = base_load (seed);
+            load.replicas = 3;
+            load.slow_percent = 35;
+            load.slow_factor = 10.0;
+            load.round_trip_us = round_trips_us[i];
+            load.new_connections = is_new;
+            jd_search_result_t result = jd_search_load_run (&load);
+            searches += result.searches;
+            in_time += result.in_objective;
+          }
+        printf ("%u us %s: %.3f ", round_trips_us[i], is_new ? "new" : "kept",
+                (double)in_time / searches);
+        CU_ASSERT_TRUE (in_time * 100 >= searches * 95);
+      }
+}
+
 /* Returns a load with a burst of 6 s after 2 s of normal load. Targets shed requests that
  * do not fit their queue; rejected callers retry once. */
 static jd_search_load_t
@@ -281,6 +311,7 @@
 main (void)
 {
   static const jd_test_case_t cases[] = {
+    { "answers reach distant callers in time", answers_reach_distant_callers_in_time },
     { "pauses do not delay answers", pauses_do_not_delay_answers },
     { "dead shards do not delay answers", dead_shards_do_not_delay_answers },
     { "too many dead shards give no answer", too_many_dead_shards_give_no_answer },
--- a/test/support/search_load.c
+++ b/test/support/search_load.c
@@ -10,6 +10,8 @@
 
 #define SEARCHES_MAX 8192
 #define HOSTS_MAX 32
+/* Round trip that hosts assume if a load states none; callers are 1 ms away. */
+#define NEAR_ROUND_TRIP_US 2000
 #define HINTS_MAX 256
 /* Interval at which hosts exchange target hints and quota reports, as on the platform. */
 #define HINT_INTERVAL_MS 100
@@ -442,6 +444,10 @@
     .parts = (jd_route_part_t *)(void *)route->parts->data,
     .part_count = route->parts->len,
     .deadline_us = sim->now_us + route->timeout_us,
+    .caller_path = { .round_trip_us = sim->load->round_trip_us > 0
+                                          ? sim->load->round_trip_us
+                                          : NEAR_ROUND_TRIP_US,
+                     .is_new = sim->load->new_connections },
     .salt = sim->result.searches * 977,
   };
   jd_fanout_actions_t actions = { .send = send_attempt,
@@ -600,7 +606,9 @@
                                              search->verdict == JD_FANOUT_PARTIAL);
       result->answered += answered;
       const jd_route_t *route = sim->hosts[search->host].route;
-      result->in_objective += answered && took_us <= route->objective_us;
+      int64_t path_us =
+          (sim->load->new_connections ? 2 : 1) * (int64_t)sim->load->round_trip_us;
+      result->in_objective += answered && took_us + path_us <= route->objective_us;
       result->complete += answered && search->verdict == JD_FANOUT_COMPLETE;
       result->missed_deadlines +=
           search->end_us == 0 || took_us > route->timeout_us + JD_US_PER_MS;
--- a/test/support/search_load.h
+++ b/test/support/search_load.h
@@ -44,6 +44,8 @@
   double fail_share;     /* Share of attempts that fail when their work is done. */
   double min_coverage;
   uint32_t objective_ms;
+  uint32_t round_trip_us; /* Between callers and hosts; 0: results are as of the host. */
+  bool new_connections;   /* Each caller opens a connection for its search. */
   uint32_t deadline_ms;
   uint32_t duration_ms;
 
@@ -69,8 +71,8 @@
 typedef struct jd_search_result
 {
   uint32_t searches;
-  uint32_t answered; /* With at least the minimum coverage. */
-  uint32_t in_objective;
+  uint32_t answered;         /* With at least the minimum coverage. */
+  uint32_t in_objective;     /* As the caller measures it. */
   uint32_t complete;         /* Answered with all parts. */
   uint32_t refused_by_gate;  /* By the admission gate of a host. */
   uint32_t missed_deadlines; /* Not ended by the deadline. */
