--- a/test/process/test_host.c
+++ b/test/process/test_host.c
@@ -150,6 +150,95 @@
   jd_host_fixture_close (&fixture);
 }
 
+/* Publishes odd records of targets and odd items around them. The names are distributed
+ * over the pages of a full read. */
+static void
+publish_odd_records (jd_host_fixture_t *fixture)
+{
+  static const char *const numbers[] = {
+    "1e300", "1e400", "9223372036854775808", "-1", "\"1\"", "[]", "null", "1.5",
+  };
+  static const char *const addresses[] = {
+    "127.0.0.1:0",           "127.0.0.1:65536", "127.0.0.1:99999999999", "127.0.0.1:-1",
+    "127.0.0.1:8080:1",      "127.0.0.1",       "999.0.0.1:80",          ":",
+    "127.0.0.1:8080\\u0000", "\xff\xfe:80",
+  };
+  GString *nested = g_string_new (NULL);
+  for (int i = 0; i < 100000; i++)
+    g_string_append_c (nested, '[');
+  for (int i = 0; i < 100000; i++)
+    g_string_append_c (nested, ']');
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      char *key = g_strdup_printf ("servers/i-%zu-odd-a", i % 8);
+      char *value = g_strdup_printf (
+          "{\"service\":\"studio\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"slots\":%"
+          "s,"
+          "\"state\":\"ready\",\"coldLeftMs\":%s,\"seq\":%s,\"born\":%s}",
+          numbers[i], numbers[i], numbers[i], numbers[i]);
+      jd_published_store_put (fixture->store, key, value);
+      g_free (value);
+      value = g_strdup_printf (
+          "{\"key\":\"servers/odd\",\"value\":\"e30=\",\"revision\":%s}", numbers[i]);
+      g_free (key);
+      key = g_strdup_printf ("servers/i-%zu-odd-b", i % 8);
+      jd_published_store_put_item (fixture->store, key, value);
+      g_free (value);
+      g_free (key);
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      char *key = g_strdup_printf ("servers/i-%zu-odd-c", i % 8);
+      char *value = g_strdup_printf (
+          "{\"service\":\"studio\",\"address\":\"%s\",\"zone\":\"a\",\"slots\":2,"
+          "\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":1}",
+          addresses[i]);
+      jd_published_store_put (fixture->store, key, value);
+      g_free (value);
+      g_free (key);
+    }
+  jd_published_store_put (fixture->store, "servers/i-1-odd-d", nested->str);
+  jd_published_store_put_item (fixture->store, "servers/i-2-odd-d", nested->str);
+  jd_published_store_put_item (fixture->store, "servers/i-3-odd-d",
+                               "{\"key\":\"servers/x\\u0000\",\"revision\":1}");
+  g_string_free (nested, TRUE);
+}
+
+/* Guards against odd records, and odd items in the lists of the store, that end a host or
+ * keep it from following the others: nested too deeply, with numbers that are too large,
+ * with ports out of range, with bytes that are no text. */
+static void
+odd_records_do_not_stop_hosts (void)
+{
+  jd_host_fixture_t fixture = { 0 };
+  jd_host_fixture_open (&fixture, 2, SHARDS);
+  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, 0, 5.0));
+  CU_ASSERT_TRUE (
+      wait_for_status (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY, 200, 5.0));
+  publish_odd_records (&fixture);
+  fixture.has_key = false;
+  jd_host_fixture_publish_config (&fixture);
+  for (uint32_t host = 0; host < 2; host++)
+    CU_ASSERT_TRUE (
+        wait_for_status (&fixture, host, "/fetch/1", JD_HOST_FIXTURE_KEY, 401, 3.0));
+  /* Now with a full read, on a host that is started among the odd records. */
+  fixture.has_key = true;
+  jd_host_fixture_publish_config (&fixture);
+  jd_published_store_discard_history (fixture.store);
+  CU_ASSERT_EQUAL (jd_host_fixture_stop_host (&fixture, 1, SIGTERM), 0);
+  jd_host_fixture_start_host (&fixture, 1);
+  CU_ASSERT_TRUE (jd_host_fixture_wait_ready (&fixture, 1, 5.0));
+  for (uint32_t host = 0; host < 2; host++)
+    {
+      CU_ASSERT_TRUE (
+          wait_for_status (&fixture, host, "/search/1", JD_HOST_FIXTURE_KEY, 200, 3.0));
+      for (int i = 0; i < 10; i++)
+        CU_ASSERT_EQUAL (status_of (&fixture, host, "/fetch/1", JD_HOST_FIXTURE_KEY),
+                         200);
+    }
+  jd_host_fixture_close (&fixture);
+}
+
 /* Guards against a host that stops serving while the store is silent or answers with
  * failures, and against changes that it never applies when the store returns without its
  * history. */
@@ -648,6 +737,7 @@
     { "a host copies records from another host", host_copies_records_from_another_host },
     { "edits run at most once", edits_run_at_most_once },
     { "searches tolerate faulty answers", searches_tolerate_faulty_answers },
+    { "odd records do not stop hosts", odd_records_do_not_stop_hosts },
     { "leaving targets get no requests", leaving_targets_get_no_requests },
     { "paused targets get no requests", paused_targets_get_no_requests },
     { "a graceful stop answers all requests", graceful_stop_answers_all_requests },
--- a/test/stand_ins/published_store.c
+++ b/test/stand_ins/published_store.c
@@ -7,12 +7,15 @@
 
 /* Small, so that clients have to read several pages in tests. */
 #define PAGE_ITEMS 8
+/* Member of a placeholder for an item with a text of its own. */
+#define ITEM_TEXT_MEMBER "itemText"
 
 /* A change of one record. */
 typedef struct jd_stored_event
 {
   char *key;
-  char *value; /* NULL: the record was removed. */
+  char *value;     /* NULL: the record was removed. */
+  char *item_text; /* Sent in place of the item; NULL: none. */
   int64_t revision;
 } jd_stored_event_t;
 
@@ -33,6 +36,7 @@
   jd_stored_event_t *event = data;
   g_free (event->key);
   g_free (event->value);
+  g_free (event->item_text);
   g_free (event);
 }
 
@@ -62,6 +66,20 @@
   g_ptr_array_add (store->history, event_new (key, value, store->revision));
 }
 
+/* Adds an entry with a text of its own, and the change to the history. */
+void
+jd_published_store_put_item (jd_published_store_t *store, const char *key,
+                             const char *item_text)
+{
+  store->revision++;
+  jd_stored_event_t *event = event_new (key, "", store->revision);
+  event->item_text = g_strdup (item_text);
+  g_tree_replace (store->items, event->key, event);
+  event = event_new (key, "", store->revision);
+  event->item_text = g_strdup (item_text);
+  g_ptr_array_add (store->history, event);
+}
+
 /* Removes a record and adds the removal to the history. */
 void
 jd_published_store_remove (jd_published_store_t *store, const char *key)
@@ -96,6 +114,11 @@
 event_to_json (const jd_stored_event_t *event)
 {
   json_t *object = json_object ();
+  if (event->item_text)
+    {
+      json_object_set_new (object, ITEM_TEXT_MEMBER, json_string (event->item_text));
+      return object;
+    }
   json_object_set_new (object, "key", json_string (event->key));
   json_object_set_new (object, "revision", json_integer (event->revision));
   if (!event->value)
@@ -148,15 +171,37 @@
   return FALSE;
 }
 
+/* Returns the JSON text of an answer, in which items with a text of their own are
+ * replaced by it; free with g_string_free. */
+static GString *
+render (const json_t *object, const char *items_name)
+{
+  char *text = json_dumps (object, JSON_COMPACT);
+  GString *rendered = g_string_new (text);
+  free (text);
+  size_t index;
+  json_t *item;
+  json_array_foreach (json_object_get (object, items_name), index, item)
+  {
+    const char *item_text = json_string_value (json_object_get (item, ITEM_TEXT_MEMBER));
+    if (!item_text)
+      continue;
+    char *placeholder = json_dumps (item, JSON_COMPACT);
+    g_string_replace (rendered, placeholder, item_text, 1);
+    free (placeholder);
+  }
+  return rendered;
+}
+
 static void
 send_json (jd_caller_t *caller, uint32_t status, json_t *object)
 {
-  char *text = json_dumps (object, JSON_COMPACT);
+  GString *text = render (object, json_object_get (object, "items") ? "items" : "events");
   GString *fields = g_string_new ("Content-Type: application/json\r\n");
-  jd_caller_answer (caller, status, fields, text, strlen (text));
+  jd_caller_answer (caller, status, fields, text->str, text->len);
   g_string_free (fields, TRUE);
+  g_string_free (text, TRUE);
   json_decref (object);
-  free (text);
 }
 
 static void
--- a/test/stand_ins/published_store.h
+++ b/test/stand_ins/published_store.h
@@ -22,6 +22,10 @@
 void jd_published_store_free (jd_published_store_t *store);
 void jd_published_store_put (jd_published_store_t *store, const char *key,
                              const char *value);
+/* Adds an entry whose item in lists and changes is the JSON text as it is, valid or not.
+ * The key sets its place in lists. */
+void jd_published_store_put_item (jd_published_store_t *store, const char *key,
+                                  const char *item_text);
 void jd_published_store_remove (jd_published_store_t *store, const char *key);
 void jd_published_store_discard_history (jd_published_store_t *store);
 void jd_published_store_set_mode (jd_published_store_t *store, jd_store_mode_t mode);
