fix(transport): bound the memory of answers without end, and junk addresses

Cause: a connection to a target may hold 4 MiB of an answer, and a host has hundreds of connections; answers that callers do not read had no bound at all. Change: byte_budget, one for all connections to targets and callers of a host, an eighth of its memory limit; the connection that holds the most is cut first. Readers and callers give large buffers back. A state message has to come from the address that it names; addresses that others list are forgotten after 20 s without a message, and at most 512 are tried; seeds stay. Metrics, log lines reply_cut and caller_cut.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build asan test soak demo bench report capacity lint format clean
+.PHONY: all deps build asan test soak fuzz demo bench report capacity lint format clean
 
 all: build
 
@@ -27,6 +27,14 @@
 soak: build
 	scripts/soak $(BUILD) $(SEEDS) $(FIRST)
 
+# `make fuzz` runs the tests with corrupted input for ROUNDS inputs each, with sanitizers.
+# They cover records, pages of the store, requests, replies, and messages between hosts.
+ROUNDS ?= 1000000
+fuzz: asan
+	for test in published_records store_page http_reader peer_gossip; do \
+	  JACKDAW_FUZZ_ROUNDS=$(ROUNDS) $(BUILD)-asan/tests/unit/unit_test_$$test 2>/dev/null \
+	    || exit 1; done
+
 demo: build
 	scripts/demo $(BUILD)
 
--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -25,6 +25,10 @@
 /* A larger response of a target is handled as invalid; the sites state that bodies have
  * up to 18 kB. */
 #define REPLY_BYTES_MAX (4 * 1024 * 1024)
+/* Share of the memory limit for the bytes that connections hold. Buffers grow by
+ * doubling, and the check follows after all events of a loop iteration, so the peak is a
+ * few times higher. */
+#define BYTE_BUDGET_SHARE 8
 /* Upper estimate of the memory for a request with its attempts. */
 #define REQUEST_MEMORY_KB 128
 /* A stopping host listens until the load balancer has removed it, which takes two failed
@@ -143,6 +147,17 @@
   jd_replica_registry_expire_notices (host->registry, now_us);
 }
 
+/* Prepare callback, before the loop waits for events: ends the connections that hold the
+ * most bytes until the others are within the budget. */
+static void
+on_budget_check (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  jd_host_t *host = watcher->data;
+  jd_byte_holder_t *holder;
+  while ((holder = jd_byte_budget_excess (&host->byte_budget)))
+    holder->cut (holder->context);
+}
+
 /* Registry event: a target may receive requests. */
 static void
 on_replica_added (void *context, jd_replica_t *replica)
@@ -364,7 +379,7 @@
     {
       struct sockaddr_in address;
       if (jd_socket_parse_address (*seed, &address))
-        jd_peer_table_add (host->peers, ntohl (address.sin_addr.s_addr));
+        jd_peer_table_add_seed (host->peers, ntohl (address.sin_addr.s_addr));
     }
 }
 
@@ -439,6 +454,7 @@
       if (!servers[i].address)
         continue;
       *servers[i].server = jd_caller_server_new (host->loop, &servers[i].handler);
+      jd_caller_server_set_budget (*servers[i].server, &host->byte_budget);
       if (!jd_caller_server_listen (*servers[i].server, servers[i].address, error))
         return false;
     }
@@ -447,6 +463,7 @@
                                   .on_disconnect = ignore_disconnect,
                                   .context = host };
   host->peer_server = jd_caller_server_new (host->loop, &handler);
+  jd_caller_server_set_budget (host->peer_server, &host->byte_budget);
   bool is_listening = jd_caller_server_listen (host->peer_server, address, error);
   jd_peer_gossip_options_t gossip = {
     .loop = host->loop,
@@ -478,6 +495,7 @@
     .loop = host->loop,
     .fields = host->platform.fields.target,
     .reply_body_limit_bytes = REPLY_BYTES_MAX,
+    .budget = &host->byte_budget,
   };
   host->registry = jd_replica_registry_new (host->zone, &events);
   host->links = jd_replica_links_new (&links);
@@ -521,6 +539,10 @@
   host->max_requests = settings->memory_mb * 1024 / 2 / REQUEST_MEMORY_KB;
   host->salt = (uint32_t)jd_entropy ();
   host->host_count = JD_ASSUMED_HOST_COUNT;
+  jd_byte_budget_init (&host->byte_budget,
+                       (uint64_t)settings->memory_mb * 1024 * 1024 / BYTE_BUDGET_SHARE);
+  ev_prepare_init (&host->budget_check, on_budget_check);
+  host->budget_check.data = host;
   g_queue_init (&host->requests);
   create_counters (host);
   jd_host_metrics_init (&host->latencies);
@@ -535,6 +557,7 @@
                  MAINTENANCE_INTERVAL_S);
   host->maintenance_timer.data = host;
   ev_timer_start (loop, &host->maintenance_timer);
+  ev_prepare_start (loop, &host->budget_check);
   return host;
 }
 
@@ -544,6 +567,7 @@
 {
   ev_timer_stop (host->loop, &host->maintenance_timer);
   ev_timer_stop (host->loop, &host->stop_timer);
+  ev_prepare_stop (host->loop, &host->budget_check);
   jd_caller_server_t *servers[] = { host->caller_server, host->readiness_server,
                                     host->metrics_server, host->peer_server };
   for (size_t i = 0; i < G_N_ELEMENTS (servers); i++)
--- a/src/daemons/host_defs.h
+++ b/src/daemons/host_defs.h
@@ -3,6 +3,7 @@
 #include "base/counters.h"
 #include "base/latency_histogram.h"
 #include "daemons/host.h"
+#include "limits/byte_budget.h"
 #include "limits/fleet_quota.h"
 #include "routing/fanout.h"
 #include "transport/caller_server.h"
@@ -78,6 +79,8 @@
   int64_t started_us;
   uint32_t cold_slack;
   uint32_t max_requests;
+  jd_byte_budget_t byte_budget; /* Of all connections to targets and callers. */
+  ev_prepare budget_check;
 
   jd_caller_server_t *caller_server;
   jd_caller_server_t *readiness_server;
--- a/src/daemons/host_metrics.c
+++ b/src/daemons/host_metrics.c
@@ -219,6 +219,8 @@
       "jackdaw_requests_running %u\njackdaw_hosts %u\njackdaw_targets %u\n"
       "jackdaw_targets_told_of %u\njackdaw_targets_left_out %u\n"
       "jackdaw_targets_leaving %u\njackdaw_targets_paused %u\n"
+      "jackdaw_held_bytes %" G_GUINT64_FORMAT
+      "\njackdaw_held_bytes_limit %" G_GUINT64_FORMAT "\n"
       "jackdaw_target_connections %u\njackdaw_target_connections_opened_total "
       "%" G_GUINT64_FORMAT "\njackdaw_caller_connections %u\n"
       "jackdaw_configuration_version %" G_GINT64_FORMAT "\n"
@@ -226,6 +228,7 @@
       "jackdaw_removals_held %d\njackdaw_log_lines_lost_total %" G_GUINT64_FORMAT "\n",
       host->requests.length, host->host_count, jd_replica_registry_count (host->registry),
       faults.hinted, faults.ejected, notices.leaving, notices.paused,
+      host->byte_budget.held_bytes, host->byte_budget.limit_bytes,
       jd_replica_links_open_count (host->links),
       jd_replica_links_opened_total (host->links),
       jd_caller_server_connection_count (host->caller_server),
--- /dev/null
+++ b/src/limits/byte_budget.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+/* A limit on the bytes that all connections of a process hold together: answers that are
+ * not complete yet, and answers that their callers have not read yet. */
+typedef struct jd_byte_budget
+{
+  uint64_t limit_bytes;
+  uint64_t held_bytes;
+  GQueue holders; /* jd_byte_holder_t with bytes. */
+} jd_byte_budget_t;
+
+/* A connection that holds bytes; part of its owner. */
+typedef struct jd_byte_holder
+{
+  GList node; /* In budget->holders while bytes is above 0. */
+  uint64_t bytes;
+  /* Ends the connection, which sets the bytes to 0. */
+  void (*cut) (void *context);
+  void *context;
+} jd_byte_holder_t;
+
+void jd_byte_budget_init (jd_byte_budget_t *budget, uint64_t limit_bytes);
+void jd_byte_budget_set (jd_byte_budget_t *budget, jd_byte_holder_t *holder,
+                         uint64_t bytes);
+jd_byte_holder_t *jd_byte_budget_excess (const jd_byte_budget_t *budget);
--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -13,6 +13,12 @@
 #define SHARE_HOLD_US (12 * JD_US_PER_S)
 /* A silent host is removed from the table after this time. */
 #define REMOVE_AFTER_US (60 * JD_US_PER_S)
+/* An address that another host has listed, and that sends no message itself, is removed
+ * after this time; it is listed again if the host lives. */
+#define UNHEARD_REMOVE_AFTER_US (20 * JD_US_PER_S)
+/* Such addresses beyond this number are ignored, so that damaged messages cannot fill the
+ * table. A host that lives sends messages itself. */
+#define UNHEARD_MAX 512
 /* Interval of messages to a silent host. */
 #define RETRY_INTERVAL_US (2 * JD_US_PER_S)
 /* Records that are older than this are not copied from another host. */
@@ -22,7 +28,8 @@
 {
   uint32_t own_ip;
   char *own_zone;
-  GHashTable *by_ip; /* ip -> jd_peer_t */
+  GHashTable *by_ip;      /* ip -> jd_peer_t */
+  uint32_t unheard_count; /* Hosts that are no seeds and have sent no message. */
 };
 
 /* Creates an empty table for a host; own_ip is in host byte order. */
@@ -45,20 +52,51 @@
   g_free (table);
 }
 
-/* Adds a host of which only the address is known. Returns FALSE if it is in the table
- * already, is this host or has address 0. */
-bool
-jd_peer_table_add (jd_peer_table_t *table, uint32_t ip)
+/* Returns the host with an address, or NULL. */
+static jd_peer_t *
+find_peer (const jd_peer_table_t *table, uint32_t ip)
+{
+  return g_hash_table_lookup (table->by_ip, GUINT_TO_POINTER (ip));
+}
+
+/* Inserts a host that is not in the table. */
+static jd_peer_t *
+insert_peer (jd_peer_table_t *table, uint32_t ip)
 {
-  if (ip == table->own_ip || ip == 0 ||
-      g_hash_table_contains (table->by_ip, GUINT_TO_POINTER (ip)))
-    return false;
   jd_peer_t *peer = g_new0 (jd_peer_t, 1);
   peer->state.ip = ip;
   g_hash_table_insert (table->by_ip, GUINT_TO_POINTER (ip), peer);
+  return peer;
+}
+
+/* Adds a host of which another one has told the address. Returns FALSE if it is in the
+ * table already, is this host or has address 0, or if too many such hosts have sent no
+ * message. */
+bool
+jd_peer_table_add (jd_peer_table_t *table, uint32_t ip, int64_t now_us)
+{
+  if (ip == table->own_ip || ip == 0 || find_peer (table, ip) ||
+      table->unheard_count >= UNHEARD_MAX)
+    return false;
+  insert_peer (table, ip)->added_us = now_us;
+  table->unheard_count++;
   return true;
 }
 
+/* Adds a host of the settings, which stays in the table although it is silent. */
+void
+jd_peer_table_add_seed (jd_peer_table_t *table, uint32_t ip)
+{
+  if (ip == table->own_ip || ip == 0)
+    return;
+  jd_peer_t *peer = find_peer (table, ip);
+  if (!peer)
+    peer = insert_peer (table, ip);
+  else if (!peer->is_seed && peer->last_message_us == 0)
+    table->unheard_count--;
+  peer->is_seed = true;
+}
+
 /* Updates the state of a host from its message and adds the host if it is new. Returns
  * FALSE for a message of this host or with address 0, and for one of the same incarnation
  * that is not newer than the last one. */
@@ -68,9 +106,12 @@
 {
   if (state->ip == table->own_ip || state->ip == 0)
     return false;
-  jd_peer_table_add (table, state->ip);
-  jd_peer_t *peer = g_hash_table_lookup (table->by_ip, GUINT_TO_POINTER (state->ip));
-  bool has_state = peer->last_message_us > 0;
+  jd_peer_t *peer = find_peer (table, state->ip);
+  bool has_state = peer && peer->last_message_us > 0;
+  if (peer && !has_state && !peer->is_seed)
+    table->unheard_count--;
+  if (!peer)
+    peer = insert_peer (table, state->ip);
   if (has_state && state->incarnation == peer->state.incarnation &&
       state->sequence <= peer->state.sequence)
     return false;
@@ -87,8 +128,9 @@
   return true;
 }
 
-/* Removes hosts whose last message is older than REMOVE_AFTER_US. Hosts that never sent
- * one stay. */
+/* Removes hosts whose last message is older than REMOVE_AFTER_US, and hosts that are no
+ * seeds and have sent none for UNHEARD_REMOVE_AFTER_US. A seed that falls silent is kept
+ * as one that sent none. */
 void
 jd_peer_table_expire (jd_peer_table_t *table, int64_t now_us)
 {
@@ -97,13 +139,25 @@
   g_hash_table_iter_init (&iter, table->by_ip);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const jd_peer_t *peer = value;
-      if (peer->last_message_us == 0 || now_us - peer->last_message_us <= REMOVE_AFTER_US)
+      jd_peer_t *peer = value;
+      if (peer->last_message_us == 0)
+        {
+          if (!peer->is_seed && now_us - peer->added_us > UNHEARD_REMOVE_AFTER_US)
+            {
+              table->unheard_count--;
+              g_hash_table_iter_remove (&iter);
+            }
+          continue;
+        }
+      if (now_us - peer->last_message_us <= REMOVE_AFTER_US)
         continue;
       jd_log_event (G_LOG_LEVEL_INFO, "peer_lost",
                     "peer=%s zone=%s silent_ms=%" G_GINT64_FORMAT, peer->state.name,
                     peer->state.zone, (now_us - peer->last_message_us) / JD_US_PER_MS);
-      g_hash_table_iter_remove (&iter);
+      if (peer->is_seed)
+        peer->last_message_us = 0;
+      else
+        g_hash_table_iter_remove (&iter);
     }
 }
 
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -28,6 +28,8 @@
   int64_t
       last_message_us;  /* Time of the last message; 0 while only the address is known. */
   int64_t last_send_us; /* Time of the last message to the host; 0 for none. */
+  int64_t added_us;
+  bool is_seed; /* An address of the settings, which stays. */
 } jd_peer_t;
 
 /* The other hosts of the fleet, with the last state that each reported. */
@@ -35,7 +37,8 @@
 
 jd_peer_table_t *jd_peer_table_new (uint32_t own_ip, const char *own_zone);
 void jd_peer_table_free (jd_peer_table_t *table);
-bool jd_peer_table_add (jd_peer_table_t *table, uint32_t ip);
+bool jd_peer_table_add (jd_peer_table_t *table, uint32_t ip, int64_t now_us);
+void jd_peer_table_add_seed (jd_peer_table_t *table, uint32_t ip);
 bool jd_peer_table_update (jd_peer_table_t *table, const jd_peer_state_t *state,
                            int64_t now_us);
 void jd_peer_table_expire (jd_peer_table_t *table, int64_t now_us);
--- a/src/transport/caller_server.c
+++ b/src/transport/caller_server.c
@@ -15,6 +15,8 @@
 #define PIPELINED_LIMIT_BYTES ((size_t)64 * 1024)
 #define READ_BYTES ((size_t)16 * 1024)
 #define LISTEN_BACKLOG 1024
+/* Memory for output that a connection keeps once the output is sent. */
+#define RETAINED_OUTPUT_BYTES ((size_t)64 * 1024)
 #define TIMEOUT_CHECK_INTERVAL_S 0.5
 /* Limits the connections accepted per wake-up, so that a burst of them does not delay the
  * running requests. */
@@ -43,6 +45,7 @@
   int64_t phase_started_us; /* Start of the message, of the idle time or of closing. */
   int64_t accepted_us;      /* 0 once a request was received. */
   jd_caller_path_t path;    /* Of the last request. */
+  jd_byte_holder_t held;
   void *user_data;
   bool busy;    /* A request has been read and is not answered yet. */
   bool closing; /* Discard input; close the write side once the output is sent. */
@@ -61,6 +64,7 @@
   ev_timer timeout_timer;
   int listen_fd;
   GQueue callers;
+  jd_byte_budget_t *budget; /* NULL: no limit. */
   bool closes_after_answer;
 };
 
@@ -93,12 +97,38 @@
   ev_io_stop (server->loop, &caller->io);
   close (caller->fd);
   g_queue_unlink (&server->callers, &caller->link);
+  jd_byte_budget_set (server->budget, &caller->held, 0);
   jd_http_reader_clear (&caller->reader);
   g_string_free (caller->pipelined, TRUE);
   g_string_free (caller->output, TRUE);
   g_free (caller);
 }
 
+/* Budget callback: closes a connection whose caller does not read its answers, or sends
+ * more than it may have pending. */
+static void
+cut_caller (void *context)
+{
+  jd_caller_t *caller = context;
+  const jd_byte_budget_t *budget = caller->server->budget;
+  jd_log_event (G_LOG_LEVEL_WARNING, "caller_cut",
+                "bytes=%" G_GUINT64_FORMAT " unsent=%zu held=%" G_GUINT64_FORMAT
+                " limit=%" G_GUINT64_FORMAT,
+                caller->held.bytes, caller->output->len - caller->output_sent,
+                budget->held_bytes, budget->limit_bytes);
+  caller_close (caller);
+}
+
+/* Updates the bytes that a connection holds in the budget. */
+static void
+update_held_bytes (jd_caller_t *caller)
+{
+  jd_byte_budget_set (caller->server->budget, &caller->held,
+                      jd_http_reader_held_bytes (&caller->reader) +
+                          caller->pipelined->allocated_len +
+                          caller->output->allocated_len);
+}
+
 /* Waits for input unless too many bytes are pending, and for write space if output is
  * pending. */
 static void
@@ -139,6 +169,11 @@
         }
       caller->output_sent += (size_t)sent;
     }
+  if (caller->output->allocated_len > RETAINED_OUTPUT_BYTES)
+    {
+      g_string_free (caller->output, TRUE);
+      caller->output = g_string_new (NULL);
+    }
   g_string_truncate (caller->output, 0);
   caller->output_sent = 0;
   if (caller->aborted)
@@ -263,8 +298,10 @@
   caller->handling_input = true;
   handle_pipelined_input (caller);
   caller->handling_input = false;
-  if (flush_output (caller))
-    update_watched_events (caller);
+  if (!flush_output (caller))
+    return;
+  update_held_bytes (caller);
+  update_watched_events (caller);
 }
 
 /* Event loop callback: reads input and sends output. */
@@ -386,6 +423,7 @@
   caller->phase_started_us = jd_monotonic_us ();
   caller->accepted_us = caller->phase_started_us;
   caller->link.data = caller;
+  caller->held = (jd_byte_holder_t){ .cut = cut_caller, .context = caller };
   jd_http_reader_init (&caller->reader, HTTP_REQUEST, server->limits.head_bytes,
                        server->limits.body_bytes);
   ev_io_init (&caller->io, on_caller_io, fd, EV_READ);
@@ -490,6 +528,14 @@
   g_free (server);
 }
 
+/* Sets the budget for the bytes of connections, before the first one is accepted. The
+ * budget must outlive the server. */
+void
+jd_caller_server_set_budget (jd_caller_server_t *server, jd_byte_budget_t *budget)
+{
+  server->budget = budget;
+}
+
 /* Listens on "IP:port". Returns FALSE and sets error if that fails. */
 bool
 jd_caller_server_listen (jd_caller_server_t *server, const char *address, GError **error)
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -2,6 +2,7 @@
 
 #include <ev.h>
 
+#include "limits/byte_budget.h"
 #include "routing/answer_margin.h"
 #include "transport/http_reader.h"
 
@@ -37,6 +38,7 @@
                               GError **error);
 void jd_caller_server_set_limits (jd_caller_server_t *server,
                                   const jd_caller_limits_t *limits);
+void jd_caller_server_set_budget (jd_caller_server_t *server, jd_byte_budget_t *budget);
 void jd_caller_server_set_close_after_answer (jd_caller_server_t *server, bool closes);
 void jd_caller_server_close_listener (jd_caller_server_t *server);
 void jd_caller_server_close_idle (jd_caller_server_t *server);
--- a/src/transport/http_reader.c
+++ b/src/transport/http_reader.c
@@ -4,6 +4,8 @@
 
 /* Fits the head of a response with few header fields. */
 #define INITIAL_TEXT_BYTES 256
+/* A reader keeps this much memory for the next message of its connection. */
+#define RETAINED_BYTES ((size_t)64 * 1024)
 
 /* Appends bytes of the head to the text. Returns 1, which stops the parser, if the head
  * exceeds its limit. */
@@ -153,6 +155,23 @@
   reader->text = NULL;
 }
 
+/* Empties a string; frees its memory if a large message has grown it. */
+static GString *
+empty_text (GString *text)
+{
+  if (text->allocated_len <= RETAINED_BYTES)
+    return g_string_truncate (text, 0);
+  g_string_free (text, TRUE);
+  return g_string_sized_new (INITIAL_TEXT_BYTES);
+}
+
+/* Returns the memory that the message takes. */
+uint64_t
+jd_http_reader_held_bytes (const jd_http_reader_t *reader)
+{
+  return reader->text->allocated_len + reader->body->allocated_len;
+}
+
 /* Discards the message and prepares the reader for the next one of the connection. The
  * limits stay as they are. */
 void
@@ -160,8 +179,8 @@
 {
   http_parser_init (&reader->parser, reader->parser.type);
   reader->parser.data = reader;
-  g_string_truncate (reader->text, 0);
-  g_string_truncate (reader->body, 0);
+  reader->text = empty_text (reader->text);
+  reader->body = empty_text (reader->body);
   g_array_set_size (reader->fields, 0);
   reader->request_target_len = 0;
   reader->answers_head_request = false;
--- a/src/transport/http_reader.h
+++ b/src/transport/http_reader.h
@@ -49,6 +49,7 @@
                           uint32_t head_limit_bytes, uint32_t body_limit_bytes);
 void jd_http_reader_clear (jd_http_reader_t *reader);
 void jd_http_reader_restart (jd_http_reader_t *reader);
+uint64_t jd_http_reader_held_bytes (const jd_http_reader_t *reader);
 jd_http_progress_t jd_http_reader_feed (jd_http_reader_t *reader, const char *data,
                                         size_t size, size_t *used);
 jd_http_progress_t jd_http_reader_on_close (jd_http_reader_t *reader);
--- a/src/transport/peer_gossip.c
+++ b/src/transport/peer_gossip.c
@@ -17,7 +17,7 @@
 #define MESSAGE_STATE 5
 #define MESSAGE_ADMISSIONS 3
 #define MESSAGE_HINTS 4
-#define HOSTS_MAX 1024
+#define HOSTS_MAX 4096
 /* Addresses of live hosts in one state message; successive messages list different ones.
  * A host lists them in each message of its first FULL_RATE_PERIOD_US and later in one of
  * PEER_ADDRESSES_EVERY messages, because traffic between zones is billed. */
@@ -283,10 +283,10 @@
                                  now_us);
 }
 
-/* Handles a state message. A malformed message, and one that the peer table rejects,
- * changes nothing. */
+/* Handles a state message that came from an address. A malformed message, one of another
+ * host than the sender, and one that the peer table rejects change nothing. */
 static void
-handle_state (jd_peer_gossip_t *gossip, jd_wire_reader_t *reader)
+handle_state (jd_peer_gossip_t *gossip, jd_wire_reader_t *reader, uint32_t sender_ip)
 {
   jd_peer_state_t state = { 0 };
   uint32_t peer_ips[PEER_ADDRESSES_MAX] = { 0 };
@@ -304,10 +304,12 @@
       extras[i].count = (uint32_t)jd_wire_read_unsigned (reader, UINT32_MAX);
     }
   int64_t now_us = jd_monotonic_us ();
+  if (!reader->failure && state.ip != sender_ip)
+    jd_wire_reader_fail (reader, "address is not that of the sender");
   if (reader->failure || !jd_peer_table_update (gossip->options.peers, &state, now_us))
     return;
   for (uint32_t i = 0; i < peer_ip_count; i++)
-    jd_peer_table_add (gossip->options.peers, peer_ips[i]);
+    jd_peer_table_add (gossip->options.peers, peer_ips[i], now_us);
   apply_reports (gossip, state.ip, state.incarnation, reports, report_count, now_us);
   jd_extra_reports_apply (gossip->options.registry, extras, extra_count, now_us);
   jd_fleet_quota_record_heartbeat (gossip->options.quota, state.ip, state.incarnation,
@@ -348,14 +350,15 @@
 
 /* Handles one datagram. An unreadable one is logged and ignored. */
 static void
-handle_datagram (jd_peer_gossip_t *gossip, const char *bytes, size_t size)
+handle_datagram (jd_peer_gossip_t *gossip, const char *bytes, size_t size,
+                 uint32_t sender_ip)
 {
   jd_wire_reader_t reader;
   jd_wire_reader_init (&reader, bytes, size);
   switch (jd_wire_read_unsigned (&reader, UINT8_MAX))
     {
     case MESSAGE_STATE:
-      handle_state (gossip, &reader);
+      handle_state (gossip, &reader, sender_ip);
       break;
     case MESSAGE_ADMISSIONS:
       handle_admissions (gossip, &reader);
@@ -380,10 +383,13 @@
   char bytes[2 * DATAGRAM_BYTES];
   for (uint32_t i = 0; i < DATAGRAMS_PER_WAKEUP; i++)
     {
-      ssize_t size = recv (gossip->fd, bytes, sizeof (bytes), 0);
+      struct sockaddr_in sender = { 0 };
+      socklen_t sender_size = sizeof (sender);
+      ssize_t size = recvfrom (gossip->fd, bytes, sizeof (bytes), 0,
+                               (struct sockaddr *)&sender, &sender_size);
       if (size < 0)
         return;
-      handle_datagram (gossip, bytes, (size_t)size);
+      handle_datagram (gossip, bytes, (size_t)size, ntohl (sender.sin_addr.s_addr));
     }
 }
 
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -64,6 +64,7 @@
   int64_t idle_limit_us;    /* Idle timeout that the target stated; 0 if none. */
   uint32_t skipped_replies;
   bool close_after_answer;
+  jd_byte_holder_t held;
 } jd_connection_t;
 
 /* All connections to one replica. */
@@ -187,6 +188,14 @@
   g_free (link);
 }
 
+/* Updates the bytes that a connection holds in the budget. */
+static void
+update_held_bytes (jd_connection_t *connection)
+{
+  jd_byte_budget_set (connection->link->links->options.budget, &connection->held,
+                      jd_http_reader_held_bytes (&connection->reader));
+}
+
 /* Closes a connection and frees it. Its exchange must have been detached before. */
 static void
 close_connection (jd_connection_t *connection)
@@ -198,6 +207,7 @@
     link->opening_count--;
   link->links->open_count--;
   g_queue_unlink (&link->connections, &connection->node);
+  jd_byte_budget_set (link->links->options.budget, &connection->held, 0);
   jd_http_reader_clear (&connection->reader);
   g_string_free (connection->output, TRUE);
   g_free (connection);
@@ -322,6 +332,21 @@
   free_link_if_unused (link);
 }
 
+/* Budget callback: ends a connection whose answer takes too much memory. */
+static void
+cut_connection (void *context)
+{
+  jd_connection_t *connection = context;
+  const jd_link_t *link = connection->link;
+  jd_log_event (G_LOG_LEVEL_WARNING, "reply_cut",
+                "target=%s service=%s bytes=%" G_GUINT64_FORMAT " held=%" G_GUINT64_FORMAT
+                " limit=%" G_GUINT64_FORMAT,
+                link->replica->id, link->replica->pool->service, connection->held.bytes,
+                link->links->options.budget->held_bytes,
+                link->links->options.budget->limit_bytes);
+  fail_connection (connection, JD_REPLICA_BROKEN);
+}
+
 /* Handles a connection that could not be opened. Waiting exchanges fail if the replica
  * has no other connection. The link may be freed. */
 static void
@@ -445,6 +470,7 @@
   connection->fd = fd;
   connection->node.data = connection;
   connection->output = g_string_new (NULL);
+  connection->held = (jd_byte_holder_t){ .cut = cut_connection, .context = connection };
   connection->state = CONNECTION_OPENING;
   connection->state_since_us = jd_monotonic_us ();
   connection->last_received_us = connection->state_since_us;
@@ -585,6 +611,8 @@
   finish_exchange (exchange, &result);
   link->opening_count--;
   connection->state = CONNECTION_IDLE;
+  jd_http_reader_restart (&connection->reader);
+  update_held_bytes (connection);
   if (!keep_open)
     close_connection (connection);
   release_waiting_exchanges (link);
@@ -611,7 +639,10 @@
       jd_http_progress_t progress =
           jd_http_reader_feed (&connection->reader, data, size, &used);
       if (progress == JD_HTTP_MORE)
-        return;
+        {
+          update_held_bytes (connection);
+          return;
+        }
       if (progress != JD_HTTP_COMPLETE)
         {
           fail_connection (connection, JD_REPLICA_BROKEN);
--- a/src/transport/replica_links.h
+++ b/src/transport/replica_links.h
@@ -2,6 +2,7 @@
 
 #include <ev.h>
 
+#include "limits/byte_budget.h"
 #include "routing/replica.h"
 #include "transport/http_reader.h"
 
@@ -58,6 +59,7 @@
   struct ev_loop *loop;
   jd_target_fields_t fields;
   uint32_t reply_body_limit_bytes;
+  jd_byte_budget_t *budget; /* For incomplete answers; NULL: no limit. */
 } jd_replica_links_options_t;
 
 jd_outgoing_request_t *jd_outgoing_request_new (const char *id);
--- a/test/support/host_lab.c
+++ b/test/support/host_lab.c
@@ -16,6 +16,7 @@
 #include "transport/socket_address.h"
 
 #define CALL_TIMEOUT_S 5.0
+#define DEFAULT_MEMORY_MB 256U
 #define STOP_TIMEOUT_MS 9000
 /* Calls do not reuse a connection that was idle for longer. Four fifths of the host's
  * idle timeout (idleTimeoutMs), so that the host does not close a connection during its
@@ -478,11 +479,12 @@
       "[host]\nname=host-%u\nzone=%s\nip=%s\nfirst-start=%s\n[listen]\ncallers=%s:%u\n"
       "readiness=%s:%u\nmetrics=%s:%u\npeer-port=%u\n[peers]\nseeds=%s:1,%s:1\n[store]"
       "\naddress=%s\n"
-      "[limits]\nstop-grace-s=6\nretry-slack=58\n[log]\nlevel=%s\n",
+      "[limits]\nstop-grace-s=6\nretry-slack=58\nmemory-mb=%u\n[log]\nlevel=%s\n",
       index, host->zone, host->ip, fixture->first_start ? "true" : "false", host->ip,
       host->callers_port, host->ip, host->readiness_port, host->ip, host->metrics_port,
       fixture->peer_port, fixture->hosts[0].ip,
       fixture->hosts[1 % fixture->host_count].ip, fixture->store_address,
+      fixture->memory_mb > 0 ? fixture->memory_mb : DEFAULT_MEMORY_MB,
       g_getenv ("JACKDAW_LAB_LOG") ? "info" : "error");
   g_file_set_contents (host->settings_path, text, -1, NULL);
   g_free (text);
--- a/test/support/host_lab.h
+++ b/test/support/host_lab.h
@@ -74,6 +74,7 @@
                           */
   bool reuses_connections; /* Calls reuse idle connections. */
   bool first_start;        /* Value of first-start in the settings of started hosts. */
+  uint32_t memory_mb;      /* Memory limit of started hosts; 0: the default. */
   bool uses_relays;        /* Hosts connect to targets through relays. */
   char *directory;         /* Temporary directory of the settings files. */
   jd_host_fixture_host_t hosts[JD_HOST_FIXTURE_HOSTS_MAX];
--- a/test/unit/test_peer_gossip.c
+++ b/test/unit/test_peer_gossip.c
@@ -88,7 +88,7 @@
   for (uint32_t i = 0; i < NODE_COUNT; i++)
     {
       if (i != number)
-        jd_peer_table_add (node->peers, 0x7f000001 + i);
+        jd_peer_table_add (node->peers, 0x7f000001 + i, jd_monotonic_us ());
     }
 }
 
--- a/test/unit/test_peer_table.c
+++ b/test/unit/test_peer_table.c
@@ -46,6 +46,32 @@
   jd_peer_table_free (table);
 }
 
+/* Guards against addresses that damaged messages name and that fill the table for good,
+ * so that messages do not reach the hosts that exist; and against seeds that are
+ * forgotten.
+ */
+static void
+addresses_without_a_host_are_forgotten (void)
+{
+  jd_peer_table_t *table = jd_peer_table_new (5, "a");
+  uint32_t ips[4096];
+  jd_peer_table_add_seed (table, 2);
+  for (uint32_t ip = 1000; ip < 101000; ip++)
+    jd_peer_table_add (table, ip, SECOND_US);
+  receive_state (table, 1, "a", 1, false, SECOND_US);
+  CU_ASSERT_TRUE (jd_peer_table_due_ips (table, ips, 4096, SECOND_US) < 4096);
+  CU_ASSERT_EQUAL (jd_peer_table_host_count (table, 2 * SECOND_US), 2);
+  jd_peer_table_expire (table, 30 * SECOND_US);
+  receive_state (table, 1, "a", 2, false, 30 * SECOND_US);
+  CU_ASSERT_EQUAL (jd_peer_table_due_ips (table, ips, 4096, 30 * SECOND_US), 2);
+  CU_ASSERT_TRUE (jd_peer_table_add (table, 1000, 30 * SECOND_US));
+  receive_state (table, 2, "a", 1, false, 31 * SECOND_US);
+  jd_peer_table_expire (table, 200 * SECOND_US);
+  CU_ASSERT_EQUAL (jd_peer_table_due_ips (table, ips, 4096, 200 * SECOND_US), 1);
+  CU_ASSERT_EQUAL (ips[0], 2);
+  jd_peer_table_free (table);
+}
+
 /* Guards against a reordered message that overwrites the state of a newer one, and
  * against ignoring a restarted host, whose sequence starts at 1 again. */
 static void
@@ -105,6 +131,7 @@
 main (void)
 {
   static const jd_test_case_t cases[] = {
+    { "addresses without a host are forgotten", addresses_without_a_host_are_forgotten },
     { "hosts silent for 5 s still count", hosts_silent_for_5_s_still_count },
     { "reordered messages are ignored", reordered_messages_are_ignored },
     { "one host per zone reads the store", one_host_per_zone_reads_the_store },
--- a/test/unit/test_published_records.c
+++ b/test/unit/test_published_records.c
@@ -155,6 +155,87 @@
     }
 }
 
+#define TARGET_RECORD                                                                    \
+  "{\"service\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"version\":\"v1\","   \
+  "\"slots\":2,\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":7,\"born\":1791186600000}"
+
+static void
+apply_target (jd_replica_registry_t *registry, const char *key, const char *text)
+{
+  jd_platform_apply_target (registry, key, text, strlen (text));
+}
+
+/* Guards against an odd record that names a target, removes another one or ends the
+ * process: numbers that are too large or negative, ports out of range, wrong types. */
+static void
+odd_target_records_name_no_target (void)
+{
+  static const struct
+  {
+    const char *from, *to;
+  } cases[] = {
+    { "10.0.0.1:80", "10.0.0.1:0" },
+    { "10.0.0.1:80", "10.0.0.1:65536" },
+    { "10.0.0.1:80", "10.0.0.1:99999999999" },
+    { "10.0.0.1:80", "10.0.0.1:-1" },
+    { "10.0.0.1:80", "10.0.0.1:80\\u0000" },
+    { "10.0.0.1:80", "\xff\xfe" },
+    { "\"slots\":2", "\"slots\":1e400" },
+    { "\"slots\":2", "\"slots\":-1" },
+    { "\"slots\":2", "\"slots\":[]" },
+    { "\"coldLeftMs\":0", "\"coldLeftMs\":1e300" },
+    { "\"coldLeftMs\":0", "\"coldLeftMs\":9223372036854775808" },
+    { "\"coldLeftMs\":0", "\"coldLeftMs\":-1" },
+    { "\"seq\":7", "\"seq\":9223372036854775808" },
+    { "\"seq\":7", "\"seq\":\"7\"" },
+    { "\"born\":1791186600000", "\"born\":1e300" },
+    { "\"born\":1791186600000", "\"born\":9223372036854775808" },
+    { "\"born\":1791186600000", "\"born\":-1" },
+    { "\"state\":\"ready\"", "\"state\":\"busy\"" },
+    { "\"service\":\"s1\"", "\"service\":{}" },
+    { "{", "[" },
+  };
+  jd_replica_registry_t *registry = new_registry ();
+  apply_target (registry, "servers/good", TARGET_RECORD);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GString *text = g_string_new (TARGET_RECORD);
+      CU_ASSERT_EQUAL (g_string_replace (text, cases[i].from, cases[i].to, 1), 1);
+      apply_target (registry, "servers/odd", text->str);
+      CU_ASSERT_EQUAL (jd_replica_registry_count (registry), 1);
+      g_string_free (text, TRUE);
+    }
+  jd_replica_registry_free (registry);
+}
+
+/* Guards against a crash on corrupt records of targets, and against other targets that
+ * are changed by them. */
+static void
+corrupt_target_records_do_no_harm (void)
+{
+  jd_philox_t state = { .seed = 22 };
+  jd_rng_t rng = jd_philox_rng (&state);
+  uint64_t rounds = jd_corruption_rounds (3000);
+  char text[sizeof (TARGET_RECORD)];
+  jd_replica_registry_t *registry = new_registry ();
+  apply_target (registry, "servers/good", TARGET_RECORD);
+  for (uint64_t round = 0; round < rounds; round++)
+    {
+      memcpy (text, TARGET_RECORD, sizeof (text));
+      jd_corrupt_bytes (text, sizeof (text) - 1, 1 + jd_rng_below (&rng, 4),
+                        round % 2 ? NULL : "0123456789{}[]\",:truefalsn-eE.\\ ", &rng);
+      jd_platform_apply_target (registry, "servers/odd", text, sizeof (text) - 1);
+      GBytes *before = g_bytes_new_static (TARGET_RECORD, sizeof (TARGET_RECORD) - 1);
+      GBytes *after = g_bytes_new_static (text, sizeof (text) - 1);
+      jd_platform_record_is_same (NULL, "servers/odd", before, after);
+      g_bytes_unref (before);
+      g_bytes_unref (after);
+      CU_ASSERT_TRUE (jd_replica_registry_count (registry) <= 2);
+      CU_ASSERT_TRUE (jd_replica_registry_count (registry) >= 1);
+    }
+  jd_replica_registry_free (registry);
+}
+
 static bool
 is_same (const char *key, const char *before, const char *after)
 {
@@ -194,6 +275,8 @@
     { "refuses invalid configurations", refuses_invalid_configurations },
     { "decodes corrupt configurations without a crash",
       decodes_corrupt_configurations_without_crash },
+    { "odd target records name no target", odd_target_records_name_no_target },
+    { "corrupt target records do no harm", corrupt_target_records_do_no_harm },
     { "heartbeats are not changes", heartbeats_are_not_changes },
   };
   return JD_TEST_RUN ("published_records", cases);
