--- a/test/process/test_faulty_answers.c
+++ b/test/process/test_faulty_answers.c
@@ -208,10 +208,8 @@
 static void
 endless_answers_do_not_fill_the_memory (void)
 {
-  static char chunk[6 + 4096 + 2 + 1];
-  memcpy (chunk, "1000\r\n", 6);
-  memset (chunk + 6, 'a', 4096);
-  memcpy (chunk + 6 + 4096, "\r\n", 3);
+  char *filler = g_strnfill (4096, 'a');
+  char *chunk = g_strdup_printf ("1000\r\n%s\r\n", filler);
   const struct
   {
     const char *name, *text, *endless;
@@ -268,6 +266,8 @@
     }
   printf ("peak %.1f MB ", peak_mb (&fixture));
   fixture_close (&fixture);
+  g_free (chunk);
+  g_free (filler);
 }
 
 /* Guards against bytes without end behind a whole answer: the answer is delivered, and
