fix(limits): do not free the state of a host while its report is applied

Cause: the first state message of a restarted host brings the reports of its new process before its heartbeat is recorded. jd_fleet_quota_apply_report created the state of the process, then refilled the bucket, and the refill removed the state again because the last heartbeat named the former process: the rest wrote to freed memory. Its admissions then counted once more with the next report. Ruled out: the new soak faults (the message is sent at every restart), the peer table. Change: refill first, then look up the state. Measured: unit_test_fleet_quota, first report of a restarted host counts once: use after free in the sanitizer build and a level 40 too low in the release build before, passes now.

--- a/src/limits/fleet_quota.c
+++ b/src/limits/fleet_quota.c
@@ -428,6 +428,9 @@
                              const jd_quota_report_t *report, int64_t now_us)
 {
   jd_quota_tenant_t *tenant = find_tenant (quota, report->tenant_hash, now_us);
+  /* Before find_peer (), because this may remove the state of the host's process: that of
+   * a new one, as long as its heartbeat has not been recorded. */
+  refill (tenant, now_us);
   jd_quota_peer_t *peer = find_peer (quota, tenant, host, incarnation, report);
   bool was_silent = peer->last_report_us > 0 &&
                     now_us - MAX (peer->host->last_heartbeat_us, peer->last_report_us) >
@@ -440,7 +443,6 @@
    * been refilled since. */
   double admitted = was_silent ? MIN ((double)new_admissions, recent_admissions (report))
                                : new_admissions;
-  refill (tenant, now_us);
   tenant->level -= admitted;
   peer->admitted_per_s *=
       decay_factor (peer->last_report_us, now_us, ADMITTED_RATE_WINDOW_US);
--- a/test/unit/test_fleet_quota.c
+++ b/test/unit/test_fleet_quota.c
@@ -356,6 +356,34 @@
   jd_fleet_quota_free (quota);
 }
 
+/* Guards against a report of a restarted host that arrives before the heartbeat of its
+ * new process, as the first state message after a restart does: its admissions count
+ * once, and the state of the process is not freed while the report is applied. */
+static void
+first_report_of_a_restarted_host_counts_once (void)
+{
+  int64_t now_us = 100 * JD_US_PER_S;
+  jd_fleet_quota_t *quota = jd_fleet_quota_new (true);
+  jd_fleet_quota_set (quota, "school", 100.0, 100.0, now_us);
+  int64_t retry_after_us = 0;
+  CU_ASSERT_TRUE (jd_fleet_quota_admit (quota, "school", 2, now_us, &retry_after_us));
+  jd_quota_report_t report = { 0 };
+  CU_ASSERT_EQUAL_FATAL (jd_fleet_quota_reports (quota, &report, 1, now_us), 1);
+  report.demand_per_s = 10.0;
+  report.admitted = 5;
+  jd_fleet_quota_record_heartbeat (quota, 7, 1, now_us);
+  jd_fleet_quota_apply_report (quota, 7, 1, &report, now_us);
+  /* Long enough for the bucket to be full again and for the next scan of the hosts. */
+  now_us += 2 * JD_US_PER_S;
+  report.admitted = 40;
+  jd_fleet_quota_apply_report (quota, 7, 2, &report, now_us);
+  jd_fleet_quota_record_heartbeat (quota, 7, 2, now_us);
+  jd_fleet_quota_apply_report (quota, 7, 2, &report, now_us);
+  jd_quota_status_t status = jd_fleet_quota_status (quota, "school", now_us);
+  CU_ASSERT_DOUBLE_EQUAL (status.level, 60.0, 1.0);
+  jd_fleet_quota_free (quota);
+}
+
 int
 main (void)
 {
@@ -371,6 +399,8 @@
       idle_and_restarted_hosts_are_not_charged },
     { "silent hosts are charged", silent_hosts_are_charged },
     { "no rate means no limit", no_rate_means_no_limit },
+    { "first report of a restarted host counts once",
+      first_report_of_a_restarted_host_counts_once },
   };
   return JD_TEST_RUN ("fleet_quota", cases);
 }
