--- a/test/process/test_host.c
+++ b/test/process/test_host.c
@@ -413,12 +413,12 @@
   jd_host_fixture_close (&fixture);
 }
 
-/* Gives both targets of service studio the same faults. */
+/* Sets what both targets of service studio say about themselves. */
 static void
-set_studio_faults (jd_host_fixture_t *fixture, const jd_shard_faults_t *faults)
+set_studio_notices (jd_host_fixture_t *fixture, const jd_shard_notice_t *notice)
 {
   for (size_t i = STUDIO; i < STUDIO + 2; i++)
-    jd_shard_target_set_faults (fixture->targets[i].target, faults);
+    jd_shard_target_set_notice (fixture->targets[i].target, notice);
 }
 
 /* Returns how many requests the targets of service studio ran. */
@@ -466,14 +466,14 @@
   CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, 0, 5.0));
   CU_ASSERT_TRUE (
       wait_for_status (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY, 200, 5.0));
-  jd_shard_faults_t faults = { .delay_us = 3000, .says_leaving = true };
-  jd_shard_target_set_faults (fixture.targets[STUDIO].target, &faults);
+  jd_shard_notice_t notice = { .says_leaving = true };
+  jd_shard_target_set_notice (fixture.targets[STUDIO].target, &notice);
   uint32_t before = jd_shard_target_total_run_count (fixture.targets[STUDIO].target);
   for (int i = 0; i < 40; i++)
     CU_ASSERT_EQUAL (status_of (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY), 200);
   CU_ASSERT_TRUE (jd_shard_target_total_run_count (fixture.targets[STUDIO].target) <=
                   before + 1);
-  set_studio_faults (&fixture, &faults);
+  set_studio_notices (&fixture, &notice);
   int64_t told_us = jd_monotonic_us ();
   CU_ASSERT_EQUAL (status_of (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY), 200);
   CU_ASSERT_EQUAL (status_of (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY), 200);
@@ -493,8 +493,8 @@
   jd_host_fixture_reply_free (reply);
   CU_ASSERT_EQUAL (studio_runs (&fixture), before);
   check_targets_command (&fixture);
-  faults.says_leaving = false;
-  set_studio_faults (&fixture, &faults);
+  notice.says_leaving = false;
+  set_studio_notices (&fixture, &notice);
   jd_host_fixture_restart_target (&fixture, STUDIO);
   CU_ASSERT_TRUE (
       wait_for_status (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY, 200, 3.0));
@@ -522,16 +522,16 @@
       wait_for_status (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY, 200, 5.0));
   for (size_t i = STUDIO; i < STUDIO + 2; i++)
     jd_shard_target_set_observer (fixture.targets[i].target, count_arrival, &arrivals);
-  jd_shard_faults_t faults = { .shed_share = 1.0, .pause = "tomorrow" };
-  set_studio_faults (&fixture, &faults);
+  jd_shard_notice_t notice = { .is_paused = true, .pause = "tomorrow" };
+  set_studio_notices (&fixture, &notice);
   for (int i = 0; i < 4; i++)
     {
       uint32_t before = arrivals;
       CU_ASSERT_EQUAL (status_of (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY), 503);
       CU_ASSERT_TRUE (arrivals > before);
     }
-  faults.pause = "1.5";
-  set_studio_faults (&fixture, &faults);
+  notice.pause = "1.5";
+  set_studio_notices (&fixture, &notice);
   int64_t start_us = jd_monotonic_us ();
   for (int i = 0; i < 2; i++) /* A request need not reach both targets. */
     CU_ASSERT_EQUAL (status_of (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY), 503);
@@ -553,8 +553,8 @@
       jd_host_fixture_run (&fixture, 0.05);
     }
   CU_ASSERT_EQUAL (arrivals, 0);
-  faults = (jd_shard_faults_t){ .delay_us = 3000 };
-  set_studio_faults (&fixture, &faults);
+  notice = (jd_shard_notice_t){ 0 };
+  set_studio_notices (&fixture, &notice);
   CU_ASSERT_TRUE (
       wait_for_status (&fixture, 0, "/fetch/1", JD_HOST_FIXTURE_KEY, 200, 2.0));
   jd_host_fixture_close (&fixture);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -24,6 +24,12 @@
 #define JD_SOAK_CLUB_MAX_REQUESTS 80U
 #define JD_SOAK_CLUB_WINDOW_US (5 * JD_US_PER_S)
 #define JD_SOAK_MAX_ATTEMPTS 2U /* Per request and service. */
+/* A target that asks for a pause gets at most this many requests from a host between
+ * JD_SOAK_PAUSE_TOLERANCE_US after its answer and the end of the pause. */
+#define JD_SOAK_PAUSE_MAX_REQUESTS 2U
+#define JD_SOAK_PAUSE_TOLERANCE_US (JD_US_PER_S / 2)
+#define JD_SOAK_PAUSE_S "1.5"
+#define JD_SOAK_PAUSE_US (1500 * JD_US_PER_MS)
 
 #define JD_SOAK_WINDOW_MAX_EVENTS 128U
 
@@ -78,8 +84,20 @@
   int64_t config_version_us; /* When that answer arrived. */
 } jd_soak_host_t;
 
+/* What a target has told one start of a host about itself. */
+typedef struct jd_soak_told
+{
+  uint32_t host_start_number;
+  int64_t leaving_us; /* First answer that said that it is leaving; 0: none. */
+  int64_t pause_us;   /* Answer that asked for the present pause; 0: none. */
+  uint32_t requests_in_pause;
+} jd_soak_told_t;
+
 typedef struct jd_soak_target
 {
+  bool says_leaving;
+  bool is_paused;
+  jd_soak_told_t *told; /* Of each host. */
   int64_t withdrawn_us; /* When it was withdrawn; 0: it is in use. */
   int64_t cold_until_us;
   jd_soak_window_t cold_arrivals;
@@ -103,6 +121,8 @@
   int64_t targets_fault_end_us;
   int64_t links_disturbed_us; /* Latest fault on a link to a target. */
   int64_t withdrawal_end_us;
+  int64_t notice_end_us; /* End of what notice_target says about itself; 0: nothing. */
+  uint32_t notice_target;
   uint32_t withdrawn_target;
   uint32_t open_calls;
   uint32_t served_calls;
@@ -125,5 +145,7 @@
 void jd_soak_choose_fault_kinds (jd_soak_t *soak);
 void jd_soak_publish_config (jd_soak_t *soak, bool has_guest_key);
 void jd_soak_withdraw_target (jd_soak_t *soak, uint32_t target);
+void jd_soak_start_notice (jd_soak_t *soak, uint32_t target, bool is_leaving);
+void jd_soak_end_notice (jd_soak_t *soak);
 void jd_soak_start_fault (jd_soak_t *soak);
 void jd_soak_end_faults (jd_soak_t *soak);
--- a/test/soak/soak_checks.c
+++ b/test/soak/soak_checks.c
@@ -70,6 +70,43 @@
                               "tenant exceeds its rate limit");
 }
 
+/* Checks that a request does not come from a host that its target has told that it is
+ * leaving, later than the drain limit, or that it wants a pause. Records what the target
+ * tells the host in its answer, which may be lost if links are disturbed. */
+static void
+check_told (jd_soak_t *soak, jd_soak_target_t *target, const jd_soak_call_t *call,
+            int64_t now_us)
+{
+  jd_soak_told_t *told = &target->told[call->host];
+  uint32_t start_number = soak->hosts[call->host].start_count;
+  bool is_undisturbed =
+      now_us - soak->links_disturbed_us >= JD_SOAK_UNDISTURBED_US &&
+      now_us - soak->hosts[call->host].last_disturbed_us >= JD_SOAK_UNDISTURBED_US;
+  if (told->host_start_number != start_number || !is_undisturbed)
+    *told = (jd_soak_told_t){ .host_start_number = start_number };
+  if (target->says_leaving && told->leaving_us > 0 &&
+      call->sent_us - told->leaving_us > JD_SOAK_DRAIN_LIMIT_US)
+    jd_soak_report_violation (soak, "told_leaving", call->id,
+                              "request reached a target that said it is leaving");
+  /* Injected: the host behaves as if the target had not asked for a pause. */
+  bool is_paused = target->is_paused || jd_soak_injects (soak, "told_pause");
+  int64_t paused_for_us = told->pause_us > 0 ? now_us - told->pause_us : INT64_MAX;
+  if (is_paused && paused_for_us > JD_SOAK_PAUSE_TOLERANCE_US &&
+      paused_for_us < JD_SOAK_PAUSE_US &&
+      ++told->requests_in_pause > JD_SOAK_PAUSE_MAX_REQUESTS)
+    jd_soak_report_violation (soak, "told_pause", call->id,
+                              "requests reached a target during its pause");
+  if (!is_undisturbed)
+    return;
+  if (target->says_leaving && told->leaving_us == 0)
+    told->leaving_us = now_us;
+  if (is_paused && paused_for_us >= JD_SOAK_PAUSE_US)
+    {
+      told->pause_us = now_us;
+      told->requests_in_pause = 0;
+    }
+}
+
 /* Observer of the targets: checks a request that arrives at a target. */
 void
 jd_soak_on_arrival (void *context, jd_shard_target_t *shard_target,
@@ -96,6 +133,7 @@
                               "the request names another tenant than its key");
   if (arrival->will_run)
     check_rate (soak, call, now_us);
+  check_told (soak, target, call, now_us);
   bool is_undisturbed = now_us - soak->links_disturbed_us >= JD_SOAK_UNDISTURBED_US &&
                         jd_soak_is_undisturbed (soak, call->host, now_us);
   if (is_undisturbed && target->withdrawn_us > 0 &&
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -1,5 +1,6 @@
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/wait.h>
 
 #include "base/clock.h"
@@ -28,6 +29,8 @@
   FAULT_KEY,
   FAULT_TARGET_LEAVES,
   FAULT_TARGET_RESTARTS,
+  FAULT_TARGET_SAYS_LEAVING,
+  FAULT_TARGET_ASKS_PAUSE,
   FAULT_COUNT,
 } jd_fault_kind_t;
 
@@ -48,6 +51,8 @@
   [FAULT_KEY] = "key",
   [FAULT_TARGET_LEAVES] = "target_leaves",
   [FAULT_TARGET_RESTARTS] = "target_restarts",
+  [FAULT_TARGET_SAYS_LEAVING] = "target_says_leaving",
+  [FAULT_TARGET_ASKS_PAUSE] = "target_asks_pause",
 };
 
 /* Chooses the kinds of faults of this run: all of them if a violation is injected,
@@ -147,6 +152,39 @@
   soak->targets[target].withdrawn_us = jd_monotonic_us ();
 }
 
+/* Lets a target say that it is leaving, or refuse all requests and ask for pauses. */
+void
+jd_soak_start_notice (jd_soak_t *soak, uint32_t target, bool is_leaving)
+{
+  jd_soak_target_t *state = &soak->targets[target];
+  bool is_silent = jd_soak_injects (soak, "told_leaving");
+  const jd_shard_notice_t notice = {
+    .says_leaving = is_leaving && !is_silent,
+    .is_paused = !is_leaving,
+    .pause = is_leaving ? NULL : JD_SOAK_PAUSE_S,
+  };
+  state->says_leaving = is_leaving;
+  state->is_paused = !is_leaving;
+  memset (state->told, 0, soak->fixture.host_count * sizeof (*state->told));
+  jd_shard_target_set_notice (soak->fixture.targets[target].target, &notice);
+  soak->notice_target = target;
+}
+
+/* Ends what a target says about itself. One that was leaving starts again under its id.
+ */
+void
+jd_soak_end_notice (jd_soak_t *soak)
+{
+  const jd_shard_notice_t no_notice = { 0 };
+  jd_soak_target_t *state = &soak->targets[soak->notice_target];
+  jd_shard_target_set_notice (soak->fixture.targets[soak->notice_target].target,
+                              &no_notice);
+  if (state->says_leaving && state->withdrawn_us == 0)
+    jd_host_fixture_restart_target (&soak->fixture, soak->notice_target);
+  state->says_leaving = state->is_paused = false;
+  soak->notice_end_us = 0;
+}
+
 /* Restarts a target under another id, in a cold start, unless it is withdrawn. */
 static void
 restart_target (jd_soak_t *soak, uint32_t index)
@@ -156,6 +194,9 @@
   bool is_injected = jd_soak_injects (soak, "cold_limit");
   if (target->withdrawn_us > 0)
     return;
+  /* The new process says nothing of what the former one said. */
+  if (soak->notice_end_us != 0 && soak->notice_target == index)
+    jd_soak_end_notice (soak);
   jd_host_fixture_replace_target (&soak->fixture, index,
                                   is_injected ? 0 : JD_SOAK_COLD_START_MS);
   target->cold_until_us = now_us + JD_SOAK_COLD_START_MS * JD_US_PER_MS;
@@ -269,6 +310,13 @@
     case FAULT_TARGET_RESTARTS:
       restart_target (soak, target);
       return;
+    case FAULT_TARGET_SAYS_LEAVING:
+    case FAULT_TARGET_ASKS_PAUSE:
+      if (soak->notice_end_us != 0)
+        return;
+      soak->notice_end_us = random_time_within (soak, MAX_WITHDRAWAL_S);
+      jd_soak_start_notice (soak, target, kind == FAULT_TARGET_SAYS_LEAVING);
+      return;
     case FAULT_COUNT:
       return;
     }
@@ -339,6 +387,8 @@
         }
       soak->targets_fault_end_us = 0;
     }
+  if (soak->notice_end_us != 0 && now_us >= soak->notice_end_us)
+    jd_soak_end_notice (soak);
   if (soak->withdrawal_end_us != 0 && now_us >= soak->withdrawal_end_us)
     {
       jd_host_fixture_publish_target (fixture, soak->withdrawn_target, "ready");
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -58,6 +58,10 @@
     jd_soak_withdraw_target (soak, 0);
   soak->withdrawal_end_us = 0; /* The target stays withdrawn. */
   jd_soak_publish_config (soak, false);
+  /* Targets 0 and 2 are of different services, so each service has one more target. */
+  if (soak->notice_end_us != 0)
+    jd_soak_end_notice (soak);
+  jd_soak_start_notice (soak, 2, true);
   run_for (soak, RECOVERY_LIMIT_S);
   guint sent_before = soak->calls->len;
   uint32_t served_before = soak->served_calls;
@@ -89,7 +93,10 @@
   jd_host_fixture_open (fixture, hosts, 4);
   g_array_append_val (soak->published_us, soak->start_us);
   for (uint32_t i = 0; i < fixture->target_count; i++)
-    jd_shard_target_set_observer (fixture->targets[i].target, jd_soak_on_arrival, soak);
+    {
+      jd_shard_target_set_observer (fixture->targets[i].target, jd_soak_on_arrival, soak);
+      soak->targets[i].told = g_new0 (jd_soak_told_t, hosts);
+    }
   for (uint32_t i = 0; i < fixture->host_count; i++)
     {
       if (!jd_host_fixture_wait_ready (fixture, i, 5.0))
@@ -104,6 +111,8 @@
 static void
 stop_soak (jd_soak_t *soak)
 {
+  for (uint32_t i = 0; i < soak->fixture.target_count; i++)
+    g_free (soak->targets[i].told);
   jd_host_fixture_close (&soak->fixture);
   g_ptr_array_free (soak->calls, TRUE);
   g_array_free (soak->published_us, TRUE);
--- a/test/stand_ins/shard_target.c
+++ b/test/stand_ins/shard_target.c
@@ -16,6 +16,7 @@
   jd_caller_server_t *server;
   char *id;
   jd_shard_faults_t faults;
+  jd_shard_notice_t notice;
   jd_shard_observer_t observer;
   void *observer_context;
   jd_philox_t random;
@@ -57,7 +58,7 @@
 static void
 append_notice (const jd_shard_target_t *target, GString *fields)
 {
-  if (target->faults.says_leaving)
+  if (target->notice.says_leaving)
     g_string_append (fields, "Server-Leaving: 1\r\n");
 }
 
@@ -127,8 +128,8 @@
 {
   GString *fields = g_string_new ("X-Not-Executed: 1\r\n");
   append_notice (target, fields);
-  if (status == 503 && target->faults.pause)
-    g_string_append_printf (fields, "Retry-After: %s\r\n", target->faults.pause);
+  if (status == 503 && target->notice.pause)
+    g_string_append_printf (fields, "Retry-After: %s\r\n", target->notice.pause);
   jd_caller_answer (caller, status, fields, "", 0);
   g_string_free (fields, TRUE);
 }
@@ -186,7 +187,8 @@
   target->last_target = g_strndup (reader->text->str, reader->request_target_len);
   target->received_key |= jd_http_reader_value (reader, "Authorization") != NULL;
   jd_rng_t rng = jd_philox_rng (&target->random);
-  double draw = jd_rng_unit (&rng) - target->faults.shed_share;
+  double shed_share = target->notice.is_paused ? 1.0 : target->faults.shed_share;
+  double draw = jd_rng_unit (&rng) - shed_share;
   jd_shard_arrival_t arrival = { .request_id = id,
                                  .tenant = tenant,
                                  .will_run = draw >= 0.0 };
@@ -246,6 +248,13 @@
   target->faults = *faults;
 }
 
+/* Sets what the target says about itself from now on. */
+void
+jd_shard_target_set_notice (jd_shard_target_t *target, const jd_shard_notice_t *notice)
+{
+  target->notice = *notice;
+}
+
 /* Sets the observer of arrivals, in place of an earlier one. Requests
  * without an id and requests that expect another target are not reported. */
 void
--- a/test/stand_ins/shard_target.h
+++ b/test/stand_ins/shard_target.h
@@ -21,10 +21,16 @@
   int64_t delay_us;               /* From the arrival of a request to its answer. */
   uint32_t reported_queue_length; /* Queue length that X-Server-Load reports. */
   bool never_answers;             /* Requests run but get no answer. */
-  bool says_leaving;              /* Each answer states that the target is leaving. */
-  const char *pause; /* Retry-After of refusals with 503, a static string; NULL: none. */
 } jd_shard_faults_t;
 
+/* What a target says about itself in its answers. */
+typedef struct jd_shard_notice
+{
+  bool says_leaving; /* In each answer. */
+  const char *pause; /* Retry-After of refusals with 503, a static string; NULL: none. */
+  bool is_paused;    /* Each request is refused. */
+} jd_shard_notice_t;
+
 /* A request that arrived at a target. */
 typedef struct jd_shard_arrival
 {
@@ -42,6 +48,8 @@
 void jd_shard_target_free (jd_shard_target_t *target);
 void jd_shard_target_set_faults (jd_shard_target_t *target,
                                  const jd_shard_faults_t *faults);
+void jd_shard_target_set_notice (jd_shard_target_t *target,
+                                 const jd_shard_notice_t *notice);
 void jd_shard_target_set_observer (jd_shard_target_t *target,
                                    jd_shard_observer_t observer, void *context);
 void jd_shard_target_set_id (jd_shard_target_t *target, const char *id);
