refactor(test): share the lookup of a replica and the load of pauses

Found by reading the change for repeated code. request_done also states when a partial answer leaves (partial_at_ms).

--- a/bench/bench_pause.c
+++ b/bench/bench_pause.c
@@ -21,18 +21,8 @@
       double requests = 0, in_time = 0, late = 0, refused = 0, shed = 0, peak = 0;
       for (uint64_t seed = 1; seed <= SEEDS; seed++)
         {
-          const jd_pause_load_t load = { .seed = seed,
-                                         .hosts = 300,
-                                         .targets = targets,
-                                         .slots = 40,
-                                         .queue_max = 80,
-                                         .requests_per_s = requests_per_s * targets,
-                                         .service_ms = 10.0,
-                                         .slow_factor = 4.0,
-                                         .slow_until_ms = 6000,
-                                         .pause_ms = pause_ms,
-                                         .objective_ms = 50,
-                                         .duration_ms = 15000 };
+          const jd_pause_load_t load =
+              jd_pause_load (targets, requests_per_s, pause_ms, seed);
           jd_pause_result_t result = jd_pause_sim_run (&load, (jd_pause_return_t)policy);
           requests += result.requests;
           in_time += result.in_objective;
--- a/bench/model/pause_sim.c
+++ b/bench/model/pause_sim.c
@@ -158,6 +158,25 @@
   refuse (sim, host, is_repeated);
 }
 
+/* Returns a load of 300 hosts on targets that serve 4,000 requests/s each; the first one
+ * serves 1,000 for 6 of 15 s. requests_per_s is the load of one target. */
+jd_pause_load_t
+jd_pause_load (uint32_t targets, double requests_per_s, int64_t pause_ms, uint64_t seed)
+{
+  return (jd_pause_load_t){ .seed = seed,
+                            .hosts = 300,
+                            .targets = targets,
+                            .slots = 40,
+                            .queue_max = 80,
+                            .requests_per_s = requests_per_s * targets,
+                            .service_ms = 10.0,
+                            .slow_factor = 4.0,
+                            .slow_until_ms = 6000,
+                            .pause_ms = pause_ms,
+                            .objective_ms = 50,
+                            .duration_ms = 15000 };
+}
+
 /* Plays a load with a way to return. The same seed gives the same result. */
 jd_pause_result_t
 jd_pause_sim_run (const jd_pause_load_t *load, jd_pause_return_t policy)
--- a/bench/model/pause_sim.h
+++ b/bench/model/pause_sim.h
@@ -39,5 +39,7 @@
   uint32_t peak_per_100_ms; /* Most arrivals at the first target after its first pause. */
 } jd_pause_result_t;
 
+jd_pause_load_t jd_pause_load (uint32_t targets, double requests_per_s, int64_t pause_ms,
+                               uint64_t seed);
 jd_pause_result_t jd_pause_sim_run (const jd_pause_load_t *load,
                                     jd_pause_return_t policy);
--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -216,12 +216,13 @@
   jd_log_event (
       G_LOG_LEVEL_INFO, "request_done",
       "id=%s route=%s tenant=%s end=%s status=%u ms=%.1f parts=%u/%u lost=%u hedges=%u "
-      "retries=%u left_ms=%" G_GINT64_FORMAT " config=%" G_GINT64_FORMAT
-      " config_age_ms=%" G_GINT64_FORMAT " usual_ms=%.1f",
+      "retries=%u partial_at_ms=%.1f left_ms=%" G_GINT64_FORMAT
+      " config=%" G_GINT64_FORMAT " config_age_ms=%" G_GINT64_FORMAT " usual_ms=%.1f",
       request->outgoing->id, request->route->name,
       request->tenant ? request->tenant : "-", jd_host_end_name (end), status,
       (double)(now_us - request->arrived_us) / (double)JD_US_PER_MS, fanout->done_count,
       fanout->part_count, fanout->lost_count, fanout->hedges, fanout->retries,
+      (double)(fanout->early_us - fanout->start_us) / (double)JD_US_PER_MS,
       (fanout->deadline_us - now_us) / JD_US_PER_MS, request->table->version,
       (now_us - jd_record_feed_as_of_us (host->feed)) / JD_US_PER_MS,
       request->route->latency->median_us / (double)JD_US_PER_MS);
--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -362,6 +362,13 @@
     visit (context, value);
 }
 
+/* Returns the published target with an id, or NULL. The registry owns it. */
+jd_replica_t *
+jd_replica_registry_find (const jd_replica_registry_t *registry, const char *id)
+{
+  return g_hash_table_lookup (registry->by_id, id);
+}
+
 /* Returns the number of published targets. */
 uint32_t
 jd_replica_registry_count (const jd_replica_registry_t *registry)
--- a/src/routing/replica_registry.h
+++ b/src/routing/replica_registry.h
@@ -37,4 +37,6 @@
                                     void (*visit) (void *context,
                                                    jd_replica_pool_t *pool),
                                     void *context);
+jd_replica_t *jd_replica_registry_find (const jd_replica_registry_t *registry,
+                                        const char *id);
 uint32_t jd_replica_registry_count (const jd_replica_registry_t *registry);
--- a/test/unit/test_pause_return.c
+++ b/test/unit/test_pause_return.c
@@ -1,25 +1,6 @@
 #include "model/pause_sim.h"
 #include "support/test_main.h"
 
-/* 300 hosts and targets that serve 4,000 requests/s each; the first one serves 1,000 for
- * 6 of 15 s, and asks for pauses of two seconds. The load is that of one target. */
-static jd_pause_load_t
-overload (uint32_t targets, double requests_per_s, uint64_t seed)
-{
-  return (jd_pause_load_t){ .seed = seed,
-                            .hosts = 300,
-                            .targets = targets,
-                            .slots = 40,
-                            .queue_max = 80,
-                            .requests_per_s = requests_per_s * targets,
-                            .service_ms = 10.0,
-                            .slow_factor = 4.0,
-                            .slow_until_ms = 6000,
-                            .pause_ms = 2000,
-                            .objective_ms = 50,
-                            .duration_ms = 15000 };
-}
-
 /* Guards against hosts that all return to a target when its pause ends, which overloads
  * it again: callers are refused, and come back all at the same time too. With the return
  * of jackdaw-host fewer than half as many are refused, and more are served in time, than
@@ -30,7 +11,7 @@
   for (uint32_t targets = 1; targets <= 3; targets += 2)
     for (uint64_t seed = 1; seed <= 2; seed++)
       {
-        const jd_pause_load_t load = overload (targets, 3000.0, seed);
+        const jd_pause_load_t load = jd_pause_load (targets, 3000.0, 2000, seed);
         jd_pause_result_t at_once = jd_pause_sim_run (&load, JD_PAUSE_RETURN_AT_ONCE);
         jd_pause_result_t spread = jd_pause_sim_run (&load, JD_PAUSE_RETURN_SPREAD);
         jd_pause_result_t ramp = jd_pause_sim_run (&load, JD_PAUSE_RETURN_RAMP);
--- a/test/unit/test_replica_choice.c
+++ b/test/unit/test_replica_choice.c
@@ -37,15 +37,7 @@
     .id = id, .service = "desk", .zone = zone, .slots = 2, .born_ms = born_ms
   };
   jd_replica_registry_put (registry, &spec, NOW_US);
-  jd_replica_pool_t *pool = jd_replica_registry_pool (registry, "desk");
-  jd_replica_t *found = NULL;
-  for (guint i = 0; i < pool->replicas->len; i++)
-    {
-      jd_replica_t *replica = pool->replicas->pdata[i];
-      if (g_strcmp0 (replica->id, id) == 0)
-        found = replica;
-    }
-  jd_replica_pool_unref (pool);
+  jd_replica_t *found = jd_replica_registry_find (registry, id);
   CU_ASSERT_PTR_NOT_NULL_FATAL (found);
   g_assert (found != NULL);
   found->idle_connections = 1;
