fix(soak): run until the planted rule is violated, not any

Change: a run with a plant ends at the first violation of the planted rule. The same check of the rule's name and of the exit status stays in scripts/run_tests.

--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -127,6 +127,7 @@
   uint32_t open_calls;
   uint32_t served_calls;
   uint32_t violation_count;
+  bool found_injected; /* A violation of the injected rule was found. */
   bool no_new_faults;
   const char *injected_rule; /* Rule whose violation is injected; "" for none. */
 };
--- a/test/soak/soak_checks.c
+++ b/test/soak/soak_checks.c
@@ -23,6 +23,7 @@
 {
   const jd_soak_call_t *call = find_call (soak, id);
   soak->violation_count++;
+  soak->found_injected |= strcmp (rule, soak->injected_rule) == 0;
   printf ("violation rule=%s id=%s host=%d at_ms=%" G_GINT64_FORMAT " %s\n", rule, id,
           call ? (int)call->host : -1,
           (jd_monotonic_us () - soak->start_us) / JD_US_PER_MS, detail);
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -28,13 +28,14 @@
 }
 
 /* Runs load, and faults unless no_new_faults is set, for a number of seconds. Ends early
- * when an injected violation was found. */
+ * when a violation of the injected rule was found; the changed replies may violate others
+ * before. */
 static void
 run_for (jd_soak_t *soak, double seconds)
 {
   int64_t end_us = jd_monotonic_us () + (int64_t)(seconds * (double)JD_US_PER_S);
   while (jd_monotonic_us () < end_us &&
-         (*soak->injected_rule == '\0' || soak->violation_count == 0))
+         (*soak->injected_rule == '\0' || !soak->found_injected))
     {
       inject_state_violation (soak);
       jd_soak_end_faults (soak);
