fix(soak): withdraw a silent target before the checks at the end

Cause: at the end of a run the target that a fault had withdrawn stayed withdrawn. With the drain plant it is not withdrawn in the store, and the check needs requests that reach it. Change: the last part ends both faults first, restarts a target that said it is leaving, and withdraws target 0, which says nothing. Conclusion: the fault was the soak's, not the host's.

--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -99,6 +99,7 @@
   bool is_paused;
   jd_soak_told_t *told; /* Of each host. */
   int64_t withdrawn_us; /* When it was withdrawn; 0: it is in use. */
+  bool needs_restart;   /* It said that it is leaving, and is withdrawn. */
   int64_t cold_until_us;
   jd_soak_window_t cold_arrivals;
 } jd_soak_target_t;
@@ -146,6 +147,7 @@
 void jd_soak_choose_fault_kinds (jd_soak_t *soak);
 void jd_soak_publish_config (jd_soak_t *soak, bool has_guest_key);
 void jd_soak_withdraw_target (jd_soak_t *soak, uint32_t target);
+void jd_soak_end_withdrawal (jd_soak_t *soak);
 void jd_soak_start_notice (jd_soak_t *soak, uint32_t target, bool is_leaving);
 void jd_soak_end_notice (jd_soak_t *soak);
 void jd_soak_start_fault (jd_soak_t *soak);
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -152,6 +152,21 @@
   soak->targets[target].withdrawn_us = jd_monotonic_us ();
 }
 
+/* Publishes the withdrawn target as ready again. One that said that it is leaving starts
+ * again, because hosts would otherwise never use it. */
+void
+jd_soak_end_withdrawal (jd_soak_t *soak)
+{
+  soak->withdrawal_end_us = 0;
+  jd_soak_target_t *target = &soak->targets[soak->withdrawn_target];
+  target->withdrawn_us = 0;
+  if (target->needs_restart)
+    jd_host_fixture_restart_target (&soak->fixture, soak->withdrawn_target);
+  else
+    jd_host_fixture_publish_target (&soak->fixture, soak->withdrawn_target, "ready");
+  target->needs_restart = false;
+}
+
 /* Lets a target say that it is leaving, or refuse all requests and ask for pauses. */
 void
 jd_soak_start_notice (jd_soak_t *soak, uint32_t target, bool is_leaving)
@@ -181,6 +196,8 @@
                               &no_notice);
   if (state->says_leaving && state->withdrawn_us == 0)
     jd_host_fixture_restart_target (&soak->fixture, soak->notice_target);
+  else if (state->says_leaving)
+    state->needs_restart = true;
   state->says_leaving = state->is_paused = false;
   soak->notice_end_us = 0;
 }
@@ -390,9 +407,5 @@
   if (soak->notice_end_us != 0 && now_us >= soak->notice_end_us)
     jd_soak_end_notice (soak);
   if (soak->withdrawal_end_us != 0 && now_us >= soak->withdrawal_end_us)
-    {
-      jd_host_fixture_publish_target (fixture, soak->withdrawn_target, "ready");
-      soak->targets[soak->withdrawn_target].withdrawn_us = 0;
-      soak->withdrawal_end_us = 0;
-    }
+    jd_soak_end_withdrawal (soak);
 }
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -55,13 +55,16 @@
 check_recovery (jd_soak_t *soak)
 {
   soak->no_new_faults = true;
-  if (soak->withdrawal_end_us == 0)
-    jd_soak_withdraw_target (soak, 0);
-  soak->withdrawal_end_us = 0; /* The target stays withdrawn. */
-  jd_soak_publish_config (soak, false);
-  /* Targets 0 and 2 are of different services, so each service has one more target. */
+  /* Hosts avoid a target that says that it is leaving, also if they do not know that it is
+   * withdrawn. So the withdrawn target of this part must be one that says nothing. */
   if (soak->notice_end_us != 0)
     jd_soak_end_notice (soak);
+  if (soak->withdrawal_end_us != 0)
+    jd_soak_end_withdrawal (soak);
+  jd_soak_publish_config (soak, false);
+  /* Both stay as they are to the end. Targets 0 and 2 are of different services, so each
+   * service has one more target. */
+  jd_soak_withdraw_target (soak, 0);
   jd_soak_start_notice (soak, 2, true);
   run_for (soak, RECOVERY_LIMIT_S);
   guint sent_before = soak->calls->len;
