feat(load): play targets that leave or ask for pauses

Ruled out: counting by the notices of the hosts, which are under test; the simulation keeps its own record of what each target has told each host.

--- a/test/random/test_fanout.c
+++ b/test/random/test_fanout.c
@@ -296,6 +296,31 @@
   CU_ASSERT_TRUE (with_gate * 100 >= without_gate * 97);
 }
 
+/* Guards against requests to targets that say that they are leaving or ask for pauses, on
+ * all paths of a search, and against searches that fail because of them. */
+static void
+notices_of_targets_are_followed (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      jd_search_load_t load = base_load (seed);
+      load.hosts = 12;
+      load.replicas = 3;
+      load.max_queue_length = 2;
+      load.leaving_percent = 16;
+      load.leaving_from_ms = 1000;
+      load.pause_asked_ms = 500;
+      jd_search_result_t result = jd_search_load_run (&load);
+      /* An attempt that a full queue refused has not run, so a part may have a third one.
+       */
+      CU_ASSERT_EQUAL (result.missed_deadlines, 0);
+      CU_ASSERT_TRUE (result.extra_attempts * 5 <= result.first_attempts);
+      CU_ASSERT_EQUAL (result.attempts_after_leaving, 0);
+      CU_ASSERT_EQUAL (result.attempts_in_pauses, 0);
+      CU_ASSERT_TRUE (result.in_objective * 100 >= result.searches * 90);
+    }
+}
+
 /* Guards against a retry storm: if two thirds of the attempts fail, the extra attempts
  * stay within their budget. */
 static void
@@ -323,6 +348,7 @@
     { "faults are not treated as overload", faults_are_not_treated_as_overload },
     { "slow targets are not treated as overload",
       slow_targets_are_not_treated_as_overload },
+    { "notices of targets are followed", notices_of_targets_are_followed },
     { "failures cause no retry storm", failures_cause_no_retry_storm },
   };
   return JD_TEST_RUN ("fanout", cases);
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -55,8 +55,8 @@
 check_recovery (jd_soak_t *soak)
 {
   soak->no_new_faults = true;
-  /* Hosts avoid a target that says that it is leaving, also if they do not know that it is
-   * withdrawn. So the withdrawn target of this part must be one that says nothing. */
+  /* Hosts avoid a target that says that it is leaving, also if they do not know that it
+   * is withdrawn. So the withdrawn target of this part must be one that says nothing. */
   if (soak->notice_end_us != 0)
     jd_soak_end_notice (soak);
   if (soak->withdrawal_end_us != 0)
--- a/test/support/load_scenario.c
+++ b/test/support/load_scenario.c
@@ -65,6 +65,9 @@
   REAL ("trouble", "slow-factor", slow_factor, 1, 1, 100),
   COUNT ("trouble", "slow-from-ms", slow_from_ms, 0, 0, 60000),
   REAL ("trouble", "fail-share", fail_share, 0, 0, 1),
+  COUNT ("trouble", "leaving-percent", leaving_percent, 0, 0, 100),
+  COUNT ("trouble", "leaving-from-ms", leaving_from_ms, 0, 0, 60000),
+  COUNT ("trouble", "pause-asked-ms", pause_asked_ms, 0, 0, 10000),
 };
 
 /* Returns false and sets error if the file has a key that is not in fields. */
--- a/test/support/search_load.c
+++ b/test/support/search_load.c
@@ -24,6 +24,11 @@
   int64_t pause_offset_us;
   double work_factor; /* Multiplies the work of its attempts. */
   bool dead;
+  bool leaves; /* It says so from leaving_from_ms of the load on. */
+  /* When it first told each host; 0: not yet. Kept apart from the notices of the hosts,
+   * which are under test. */
+  int64_t told_leaving_us[HOSTS_MAX];
+  int64_t asked_pause_until_us[HOSTS_MAX];
   GQueue running; /* jd_load_attempt_t */
   GQueue waiting;
   GQueue shed; /* Will be refused in the next step. */
@@ -160,6 +165,11 @@
                                     ? target->work_factor
                                     : 1.0));
   attempt->fails = jd_rng_unit (&rng) < sim->load->fail_share;
+  int64_t told_us = target->told_leaving_us[search->host];
+  if (told_us > 0 && sim->now_us - told_us > replica->drain_limit_us)
+    sim->result.attempts_after_leaving++;
+  if (sim->now_us < target->asked_pause_until_us[search->host])
+    sim->result.attempts_in_pauses++;
   search->open_attempts++;
   if (number == 0)
     sim->result.first_attempts++;
@@ -185,12 +195,33 @@
   search->verdict = verdict;
 }
 
+/* Applies what a target says about itself in an answer to a host. */
+static void
+apply_notice (jd_load_sim_t *sim, jd_load_target_t *target, uint32_t host,
+              jd_replica_outcome_t outcome)
+{
+  jd_target_notice_t *notice = target->replicas[host]->notice;
+  if (target->leaves && sim->now_us >= sim->load->leaving_from_ms * JD_US_PER_MS)
+    {
+      jd_target_notice_set_leaving (notice, sim->now_us);
+      if (target->told_leaving_us[host] == 0)
+        target->told_leaving_us[host] = sim->now_us;
+    }
+  if (outcome != JD_REPLICA_SHED || sim->load->pause_asked_ms == 0)
+    return;
+  int64_t pause_us = sim->load->pause_asked_ms * JD_US_PER_MS;
+  jd_rng_t rng = jd_philox_rng (&sim->random);
+  jd_target_notice_set_pause (notice, pause_us, jd_rng_unit (&rng), sim->now_us);
+  target->asked_pause_until_us[host] = sim->now_us + pause_us;
+}
+
 /* Applies the outcome of an attempt to its replica and its search; frees the attempt. */
 static void
 end_attempt (jd_load_sim_t *sim, jd_load_target_t *target, jd_load_attempt_t *attempt,
              jd_replica_outcome_t outcome)
 {
   int64_t elapsed_us = sim->now_us - attempt->sent_us;
+  apply_notice (sim, target, attempt->search->host, outcome);
   jd_replica_record_load (target->replicas[attempt->search->host], target->running.length,
                           target->waiting.length, sim->load->slots, sim->now_us);
   jd_route_latency_t *latency = sim->hosts[attempt->search->host].route->latency;
@@ -332,13 +363,19 @@
       jd_load_target_t *target = &sim->targets[i];
       for (uint32_t h = 0; h < sim->host_count; h++)
         target->replicas[h] = add_target (sim, h, i);
-      /* At most one target of a shard is slow, so that with several replicas a fast one
-       * remains. */
-      bool may_be_slow = i % load->replicas == (i / load->replicas) % load->replicas;
-      bool is_slow = may_be_slow && jd_rng_below (&rng, 100) <
-                                        (uint64_t)load->slow_percent * load->replicas;
+      /* At most one target of a shard is slow or leaves, so that with several replicas a
+       * good one remains. */
+      bool is_faulty_replica =
+          i % load->replicas == (i / load->replicas) % load->replicas;
+      bool is_slow =
+          is_faulty_replica &&
+          jd_rng_below (&rng, 100) < (uint64_t)load->slow_percent * load->replicas;
       target->work_factor = is_slow ? load->slow_factor : 1.0;
       target->dead = i / load->replicas < load->dead_shards;
+      if (load->leaving_percent > 0)
+        target->leaves =
+            is_faulty_replica &&
+            jd_rng_below (&rng, 100) < (uint64_t)load->leaving_percent * load->replicas;
       target->pause_offset_us =
           (int64_t)jd_rng_below (&rng, load->pause_interval_ms + 1) * JD_US_PER_MS;
     }
--- a/test/support/search_load.h
+++ b/test/support/search_load.h
@@ -40,8 +40,12 @@
   uint32_t dead_shards;       /* Shards without a target that answers. */
   uint32_t slow_percent; /* Percentage of targets that take slow_factor times as long. */
   double slow_factor;
-  uint32_t slow_from_ms; /* Start of the slow period. */
-  double fail_share;     /* Share of attempts that fail when their work is done. */
+  uint32_t slow_from_ms;    /* Start of the slow period. */
+  double fail_share;        /* Share of attempts that fail when their work is done. */
+  uint32_t leaving_percent; /* Percentage of targets, at most one of a shard, that say in
+                               their answers that they are leaving. */
+  uint32_t leaving_from_ms; /* From then on. */
+  uint32_t pause_asked_ms;  /* Pause that a target asks for when its queue is full. */
   double min_coverage;
   uint32_t objective_ms;
   uint32_t round_trip_us; /* Between callers and hosts; 0: results are as of the host. */
@@ -78,7 +82,10 @@
   uint32_t missed_deadlines; /* Not ended by the deadline. */
   uint64_t first_attempts;
   uint64_t extra_attempts;
-  uint32_t max_attempts_per_part; /* Highest number of attempts for one part. */
+  uint32_t attempts_after_leaving; /* At a target, later than the drain limit after it has
+                                      told the host that it is leaving. */
+  uint32_t attempts_in_pauses;     /* At a target that has asked the host for a pause. */
+  uint32_t max_attempts_per_part;  /* Highest number of attempts for one part. */
 } jd_search_result_t;
 
 jd_search_result_t jd_search_load_run (const jd_search_load_t *load);
