feat(transport): open idle connections only where requests are expected

Cause: on the large site a host kept a connection to each of 450 services, 270 of which no route names, and sends a search every five to ten seconds. Targets close idle connections after 10 s, all hosts start together, and so 295 hosts renewed theirs in the same moment. Change: routing/connection_upkeep decides. A connection without a request is opened to services that a configuration names or that this host used in the last 30 s (new services: once), at a random time within a span that grows with the number of hosts; refusals double the wait. Opening starts when the number of hosts has settled.

--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -302,6 +302,7 @@
       return;
     }
   jd_route_table_finish (table, host->routes);
+  jd_route_table_name_services (table, host->routes, now_us);
   for (guint i = 0; i < table->services->len; i++)
     apply_service_limits (host, table->services->pdata[i]);
   for (guint i = 0; i < table->tenants->len; i++)
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "routing/cold_share.h"
+#include "routing/connection_upkeep.h"
 #include "routing/extra_pool.h"
 #include "routing/hedge_budget.h"
 #include "routing/target_notice.h"
@@ -97,6 +98,7 @@
   double cold_per_s; /* Requests a second that a cold target can serve; 0: no limit. */
   jd_hedge_budget_t host_budget;   /* This host's budget of extra attempts. */
   jd_extra_budget_t shared_budget; /* Extra attempts of all hosts. */
+  jd_service_use_t use;            /* Whether requests of this host are expected. */
   uint32_t service_hash;           /* Identifies the service in messages between hosts. */
 };
 
--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -195,7 +195,8 @@
 
 /* Adds a replica that is not registered yet. The registry owns it. */
 static jd_replica_t *
-add_replica (jd_replica_registry_t *registry, const jd_replica_spec_t *spec)
+add_replica (jd_replica_registry_t *registry, const jd_replica_spec_t *spec,
+             int64_t now_us)
 {
   jd_replica_t *replica = g_new0 (jd_replica_t, 1);
   replica->references = 1;
@@ -211,6 +212,8 @@
   replica->zone_drained = g_hash_table_contains (registry->drained_zones, spec->zone);
   jd_replica_pool_t *pool = jd_replica_registry_pool (registry, spec->service);
   replica->pool = pool;
+  if (pool->use.seen_us == 0)
+    pool->use.seen_us = now_us;
   g_ptr_array_add (pool->replicas, replica);
   g_ptr_array_sort (pool->replicas, compare_replicas);
   g_hash_table_insert (registry->by_id, replica->id, replica);
@@ -232,7 +235,7 @@
     }
   bool is_new = !replica;
   if (is_new)
-    replica = add_replica (registry, spec);
+    replica = add_replica (registry, spec, now_us);
   bool was_draining = replica->draining;
   replica->draining = spec->draining;
   replica->slots = spec->slots > 0 ? spec->slots : replica->slots;
--- a/src/routing/route_table.c
+++ b/src/routing/route_table.c
@@ -247,6 +247,49 @@
   return wanted_count > 0 && unreachable_count == wanted_count;
 }
 
+/* Sets when the service of each part of a route was named; 0 keeps no time, and a service
+ * that is named already keeps its own. */
+static void
+set_named (const jd_route_t *route, int64_t named_us)
+{
+  for (guint i = 0; i < route->parts->len; i++)
+    {
+      jd_service_use_t *use = &g_array_index (route->parts, jd_route_part_t, i).pool->use;
+      if (named_us == 0 || use->named_us == 0)
+        use->named_us = named_us;
+    }
+}
+
+/* Records which services the routes of a table name, and that those which only the
+ * previous one named are no longer named. */
+void
+jd_route_table_name_services (const jd_route_table_t *table,
+                              const jd_route_table_t *previous, int64_t now_us)
+{
+  GHashTable *named_before = g_hash_table_new (NULL, NULL);
+  for (guint i = 0; previous && i < previous->routes->len; i++)
+    {
+      const jd_route_t *route = previous->routes->pdata[i];
+      for (guint k = 0; k < route->parts->len; k++)
+        g_hash_table_add (named_before,
+                          g_array_index (route->parts, jd_route_part_t, k).pool);
+    }
+  for (guint i = 0; i < table->routes->len; i++)
+    {
+      const jd_route_t *route = table->routes->pdata[i];
+      set_named (route, now_us);
+      for (guint k = 0; k < route->parts->len; k++)
+        g_hash_table_remove (named_before,
+                             g_array_index (route->parts, jd_route_part_t, k).pool);
+    }
+  GHashTableIter iter;
+  gpointer pool;
+  g_hash_table_iter_init (&iter, named_before);
+  while (g_hash_table_iter_next (&iter, &pool, NULL))
+    ((jd_replica_pool_t *)pool)->use.named_us = 0;
+  g_hash_table_destroy (named_before);
+}
+
 /* Returns how many of count parts an answer of the route needs at least. */
 uint32_t
 jd_route_needed_parts (const jd_route_t *route, uint32_t count)
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -96,6 +96,8 @@
 const jd_route_t *jd_route_table_match (const jd_route_table_t *table, const char *host,
                                         const char *target, size_t target_len);
 const jd_tenant_t *jd_route_table_tenant (const jd_route_table_t *table, const char *key);
+void jd_route_table_name_services (const jd_route_table_t *table,
+                                   const jd_route_table_t *previous, int64_t now_us);
 uint32_t jd_route_needed_parts (const jd_route_t *route, uint32_t count);
 double jd_route_table_unreachable_share (jd_route_table_t *table);
 double jd_route_table_rejected_share (const jd_route_table_t *table,
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -11,6 +11,7 @@
 #include "base/log_event.h"
 #include "base/rng.h"
 #include "routing/connection_share.h"
+#include "routing/connection_upkeep.h"
 
 #define READ_BYTES (16 * 1024)
 #define MAINTENANCE_INTERVAL_S 0.1
@@ -34,6 +35,9 @@
 /* During this time after the start the number of hosts, and so the connection quota of
  * this host, is not determined yet. Connections are opened for waiting requests only. */
 #define WARM_UP_US (800 * JD_US_PER_MS)
+/* This lasts longer while the number of hosts grows, but not beyond WARM_UP_MAX_US. */
+#define HOST_COUNT_SETTLED_US (400 * JD_US_PER_MS)
+#define WARM_UP_MAX_US (3 * JD_US_PER_S)
 /* Interim responses and answers to other requests that are skipped on a connection before
  * it is closed. */
 #define SKIPPED_REPLIES_MAX 3
@@ -76,8 +80,9 @@
   GQueue connections;
   GQueue waiting; /* Exchanges that wait for a connection. */
   uint32_t opening_count;
-  int64_t open_after_us; /* No connection is opened before this time. */
-  uint32_t users;        /* Callers further up the stack that use the link. */
+  int64_t open_after_us;         /* No connection is opened before this time. */
+  jd_connection_upkeep_t upkeep; /* Of connections that no request waits for. */
+  uint32_t users;                /* Callers further up the stack that use the link. */
   bool retired;
 };
 
@@ -101,6 +106,7 @@
   ev_timer maintenance;
   int64_t started_us;
   uint32_t host_count;
+  int64_t host_count_grew_us;
   uint32_t open_count;
   uint64_t opened_total;
   jd_philox_t random;
@@ -241,6 +247,14 @@
     }
 }
 
+/* Returns a random number from 0 to 1. */
+static double
+draw_unit (jd_replica_links_t *links)
+{
+  jd_rng_t rng = jd_philox_rng (&links->random);
+  return jd_rng_unit (&rng);
+}
+
 /* Records what a target said about itself in an answer whose head is complete, also if
  * nobody waits for the answer any more. An answer with status 421 is of another target.
  */
@@ -270,8 +284,7 @@
                     replica->id, replica->pool->service);
       return;
     }
-  jd_rng_t rng = jd_philox_rng (&link->links->random);
-  if (jd_target_notice_set_pause (replica->notice, duration_us, jd_rng_unit (&rng),
+  if (jd_target_notice_set_pause (replica->notice, duration_us, draw_unit (link->links),
                                   now_us))
     jd_log_event (G_LOG_LEVEL_INFO, "target_paused",
                   "target=%s service=%s asked_ms=%" G_GINT64_FORMAT
@@ -313,6 +326,7 @@
   if (is_over_limit)
     {
       link->open_after_us = now_us + OVER_LIMIT_PAUSE_US;
+      jd_connection_upkeep_refused (&link->upkeep, draw_unit (link->links), now_us);
       if (link->connections.length == 0)
         jd_replica_observe (link->replica, JD_REPLICA_UNREACHABLE, 0, 0, now_us);
     }
@@ -357,7 +371,9 @@
                 link->replica->id, link->replica->pool->service, cause);
   link->users++;
   close_connection (connection);
-  jd_replica_observe (link->replica, JD_REPLICA_UNREACHABLE, 0, 0, jd_monotonic_us ());
+  int64_t now_us = jd_monotonic_us ();
+  jd_connection_upkeep_refused (&link->upkeep, draw_unit (link->links), now_us);
+  jd_replica_observe (link->replica, JD_REPLICA_UNREACHABLE, 0, 0, now_us);
   bool has_other_connections = link->connections.length > 0;
   if (!has_other_connections)
     fail_waiting_exchanges (link, JD_REPLICA_UNREACHABLE);
@@ -482,6 +498,7 @@
   link->opening_count++;
   link->links->open_count++;
   link->links->opened_total++;
+  jd_connection_upkeep_opened (&link->upkeep);
   int result = connect (fd, (const struct sockaddr *)&link->replica->address,
                         sizeof (link->replica->address));
   if (result != 0 && errno != EINPROGRESS)
@@ -597,6 +614,7 @@
   connection->state_since_us = now_us;
   record_target_load (link, &connection->reader, now_us);
   record_target_notice (link, &connection->reader, now_us);
+  jd_connection_upkeep_served (&link->upkeep);
   if (keep_open)
     {
       /* Use the most recent connection first, so that spare ones reach their idle
@@ -774,6 +792,7 @@
   exchange->typical_latency_us = typical_latency_us;
   int64_t now_us = jd_monotonic_us ();
   exchange->queued_us = now_us;
+  replica->pool->use.last_request_us = now_us;
   if (replica->cold_until_us > now_us)
     jd_cold_quota_use_grant (&replica->cold_quota, now_us);
   jd_connection_t *idle = find_idle_connection (link, now_us);
@@ -897,7 +916,9 @@
 {
   jd_replica_links_t *links = timer->data;
   int64_t now_us = jd_monotonic_us ();
-  bool is_warmed_up = now_us - links->started_us > WARM_UP_US;
+  bool is_warmed_up = now_us - links->started_us > WARM_UP_US &&
+                      (now_us - links->host_count_grew_us > HOST_COUNT_SETTLED_US ||
+                       now_us - links->started_us > WARM_UP_MAX_US);
   GList *next_link = NULL;
   for (GList *link_item = links->all.head; link_item; link_item = next_link)
     {
@@ -922,7 +943,10 @@
         jd_log_event (G_LOG_LEVEL_INFO, "target_pause_ended", "target=%s service=%s",
                       replica->id, replica->pool->service);
       if (link->connections.length == 0 && keep_open && may_connect && is_warmed_up &&
-          now_us >= link->open_after_us)
+          now_us >= link->open_after_us &&
+          jd_service_use_expects_requests (&replica->pool->use, now_us) &&
+          jd_connection_upkeep_is_due (&link->upkeep, links->host_count,
+                                       draw_unit (links), now_us))
         open_connection (link);
     }
 }
@@ -998,6 +1022,8 @@
 void
 jd_replica_links_set_host_count (jd_replica_links_t *links, uint32_t host_count)
 {
+  if (host_count > links->host_count)
+    links->host_count_grew_us = jd_monotonic_us ();
   links->host_count = MAX (host_count, 1);
 }
 
