feat(membership): send messages between zones to one relay a zone

A host was live for 4 s with states every 3 s, so that one lost datagram was a lost host, and copies of records went stale between two states of their reader. Change: membership/peer_spread chooses the receivers of a message: the hosts of the own zone and one random host of each other zone, which forwards it. Relayed messages must come from their origin, forwarded ones from a live host. The time for which a host is live follows the interval of states; readers of the store send each second. Conclusion: cost between zones no longer grows with the square of the fleet; messages within a zone still do.

--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -5,12 +5,15 @@
 #include "base/clock.h"
 #include "base/log_event.h"
 
-/* A host is live for this long after its last message, so that several may be lost. */
+/* A host is live for this long after its last message, or for LIVE_INTERVALS intervals of
+ * its messages if that is longer, so that one may be lost. */
 #define LIVE_US (4 * JD_US_PER_S)
+#define LIVE_INTERVALS 2.5
 /* A host is counted when limits are divided among hosts for this long after its last
- * message, because it may be unreachable from here and still serve, or may be restarting.
- */
+ * message, or for SHARE_HOLD_INTERVALS intervals, because it may be unreachable from here
+ * and still serve, or may be restarting. */
 #define SHARE_HOLD_US (12 * JD_US_PER_S)
+#define SHARE_HOLD_INTERVALS 4.0
 /* A silent host is removed from the table after this time. */
 #define REMOVE_AFTER_US (60 * JD_US_PER_S)
 /* An address that another host has listed, and that sends no message itself, is removed
@@ -29,6 +32,8 @@
   uint32_t own_ip;
   char *own_zone;
   GHashTable *by_ip;      /* ip -> jd_peer_t */
+  int64_t live_us;        /* A host is live for this long after its last message. */
+  int64_t share_hold_us;  /* It counts when limits are divided for this long. */
   uint32_t unheard_count; /* Hosts that are no seeds and have sent no message. */
 };
 
@@ -40,9 +45,26 @@
   table->own_ip = own_ip;
   table->own_zone = g_strdup (own_zone);
   table->by_ip = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  jd_peer_table_set_interval (table, 0);
   return table;
 }
 
+/* Sets the interval at which hosts send their state, which grows with the fleet. */
+void
+jd_peer_table_set_interval (jd_peer_table_t *table, int64_t interval_us)
+{
+  table->live_us = MAX (LIVE_US, (int64_t)(LIVE_INTERVALS * (double)interval_us));
+  table->share_hold_us =
+      MAX (SHARE_HOLD_US, (int64_t)(SHARE_HOLD_INTERVALS * (double)interval_us));
+}
+
+/* Returns the availability zone of this host, owned by the table. */
+const char *
+jd_peer_table_own_zone (const jd_peer_table_t *table)
+{
+  return table->own_zone;
+}
+
 /* Frees a table; NULL is not allowed. */
 void
 jd_peer_table_free (jd_peer_table_t *table)
@@ -115,7 +137,7 @@
   if (has_state && state->incarnation == peer->state.incarnation &&
       state->sequence <= peer->state.sequence)
     return false;
-  if (!has_state || now_us - peer->last_message_us > LIVE_US ||
+  if (!has_state || now_us - peer->last_message_us > table->live_us ||
       state->incarnation != peer->state.incarnation ||
       state->leaving != peer->state.leaving)
     jd_log_event (G_LOG_LEVEL_INFO, "peer_seen",
@@ -161,11 +183,35 @@
     }
 }
 
-/* Returns TRUE if the last message of a host is at most LIVE_US old. */
+/* Returns TRUE if the last message of a host is recent enough. */
 static bool
-is_live (const jd_peer_t *peer, int64_t now_us)
+is_live (const jd_peer_table_t *table, const jd_peer_t *peer, int64_t now_us)
+{
+  return peer->last_message_us > 0 && now_us - peer->last_message_us <= table->live_us;
+}
+
+/* Returns TRUE if a live host has this address. */
+bool
+jd_peer_table_is_live (const jd_peer_table_t *table, uint32_t ip, int64_t now_us)
+{
+  const jd_peer_t *peer = find_peer (table, ip);
+  return peer && is_live (table, peer, now_us);
+}
+
+/* Calls visit for each live host. */
+void
+jd_peer_table_each_live (const jd_peer_table_t *table,
+                         void (*visit) (void *context, const jd_peer_t *peer),
+                         void *context, int64_t now_us)
 {
-  return peer->last_message_us > 0 && now_us - peer->last_message_us <= LIVE_US;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, table->by_ip);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (is_live (table, value, now_us))
+        visit (context, value);
+    }
 }
 
 /* Returns the number of other hosts whose last message is at most max_silence_us old and
@@ -192,7 +238,7 @@
 uint32_t
 jd_peer_table_host_count (const jd_peer_table_t *table, int64_t now_us)
 {
-  return 1 + count_recent (table, SHARE_HOLD_US, UINT32_MAX, now_us);
+  return 1 + count_recent (table, table->share_hold_us, UINT32_MAX, now_us);
 }
 
 /* Returns the index of this host, from 0, among the hosts of jd_peer_table_host_count
@@ -200,14 +246,33 @@
 uint32_t
 jd_peer_table_rank (const jd_peer_table_t *table, int64_t now_us)
 {
-  return count_recent (table, SHARE_HOLD_US, table->own_ip, now_us);
+  return count_recent (table, table->share_hold_us, table->own_ip, now_us);
 }
 
 /* Returns the number of other hosts that are live. */
 uint32_t
 jd_peer_table_live_count (const jd_peer_table_t *table, int64_t now_us)
 {
-  return count_recent (table, LIVE_US, UINT32_MAX, now_us);
+  return count_recent (table, table->live_us, UINT32_MAX, now_us);
+}
+
+/* Addresses that are being collected. */
+typedef struct jd_ip_list
+{
+  uint32_t *ips;
+  uint32_t count;
+  uint32_t max;
+  const char *zone; /* Only hosts of this zone; NULL: of all zones. */
+} jd_ip_list_t;
+
+/* Visitor: adds the address of a host to a list that is not full. */
+static void
+collect_ip (void *context, const jd_peer_t *peer)
+{
+  jd_ip_list_t *list = context;
+  if (list->count < list->max &&
+      (!list->zone || strcmp (peer->state.zone, list->zone) == 0))
+    list->ips[list->count++] = peer->state.ip;
 }
 
 /* Writes the addresses of up to max live hosts to ips and returns their number. */
@@ -215,17 +280,20 @@
 jd_peer_table_live_ips (const jd_peer_table_t *table, uint32_t *ips, uint32_t max,
                         int64_t now_us)
 {
-  uint32_t count = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, table->by_ip);
-  while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const jd_peer_t *peer = value;
-      if (is_live (peer, now_us))
-        ips[count++] = peer->state.ip;
-    }
-  return count;
+  jd_ip_list_t list = { .ips = ips, .max = max };
+  jd_peer_table_each_live (table, collect_ip, &list, now_us);
+  return list.count;
+}
+
+/* Writes the addresses of up to max other live hosts of this zone to ips and returns
+ * their number. */
+uint32_t
+jd_peer_table_zone_ips (const jd_peer_table_t *table, uint32_t *ips, uint32_t max,
+                        int64_t now_us)
+{
+  jd_ip_list_t list = { .ips = ips, .max = max, .zone = table->own_zone };
+  jd_peer_table_each_live (table, collect_ip, &list, now_us);
+  return list.count;
 }
 
 /* Writes the addresses to which the next message goes to ips and returns their number, at
@@ -243,7 +311,7 @@
     {
       jd_peer_t *peer = value;
       bool is_new = peer->last_message_us == 0 && peer->last_send_us == 0;
-      if (!is_new && !is_live (peer, now_us) &&
+      if (!is_new && !is_live (table, peer, now_us) &&
           now_us - peer->last_send_us < RETRY_INTERVAL_US)
         continue;
       peer->last_send_us = now_us;
@@ -266,8 +334,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const jd_peer_t *peer = value;
-      if (is_live (peer, now_us) && peer->state.reads_store && !peer->state.leaving &&
-          strcmp (peer->state.zone, table->own_zone) == 0 &&
+      if (is_live (table, peer, now_us) && peer->state.reads_store &&
+          !peer->state.leaving && strcmp (peer->state.zone, table->own_zone) == 0 &&
           (!reads_store_now || peer->state.ip < table->own_ip))
         return false;
     }
@@ -290,7 +358,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const jd_peer_t *peer = value;
-      if (!is_live (peer, now_us) || peer->state.leaving || !peer->state.reads_store)
+      if (!is_live (table, peer, now_us) || peer->state.leaving ||
+          !peer->state.reads_store)
         continue;
       int64_t age_us = peer->state.feed_age_us + now_us - peer->last_message_us;
       if (age_us > MAX_SOURCE_AGE_US)
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -44,8 +44,16 @@
 void jd_peer_table_expire (jd_peer_table_t *table, int64_t now_us);
 uint32_t jd_peer_table_host_count (const jd_peer_table_t *table, int64_t now_us);
 uint32_t jd_peer_table_rank (const jd_peer_table_t *table, int64_t now_us);
+void jd_peer_table_set_interval (jd_peer_table_t *table, int64_t interval_us);
+const char *jd_peer_table_own_zone (const jd_peer_table_t *table);
+bool jd_peer_table_is_live (const jd_peer_table_t *table, uint32_t ip, int64_t now_us);
+void jd_peer_table_each_live (const jd_peer_table_t *table,
+                              void (*visit) (void *context, const jd_peer_t *peer),
+                              void *context, int64_t now_us);
 uint32_t jd_peer_table_live_ips (const jd_peer_table_t *table, uint32_t *ips,
                                  uint32_t max, int64_t now_us);
+uint32_t jd_peer_table_zone_ips (const jd_peer_table_t *table, uint32_t *ips,
+                                 uint32_t max, int64_t now_us);
 uint32_t jd_peer_table_live_count (const jd_peer_table_t *table, int64_t now_us);
 uint32_t jd_peer_table_due_ips (jd_peer_table_t *table, uint32_t *ips, uint32_t max,
                                 int64_t now_us);
--- a/src/transport/peer_gossip.c
+++ b/src/transport/peer_gossip.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/log_event.h"
+#include "membership/peer_spread.h"
 #include "transport/socket_address.h"
 #include "transport/wire_reader.h"
 
@@ -17,6 +18,10 @@
 #define MESSAGE_STATE 5
 #define MESSAGE_ADMISSIONS 3
 #define MESSAGE_HINTS 4
+/* A message of another kind follows, from the host of which the address is the second
+ * field: to a relay, which forwards it to the hosts of its zone, and from a relay. */
+#define MESSAGE_RELAY 6
+#define MESSAGE_FORWARDED 7
 #define HOSTS_MAX 4096
 /* Addresses of live hosts in one state message; successive messages list different ones.
  * A host lists them in each message of its first FULL_RATE_PERIOD_US and later in one of
@@ -42,6 +47,9 @@
  * receive them before a tenant exceeds its rate. One message covers the admissions of
  * this time. */
 #define ADMISSIONS_DELAY_S 0.025
+/* A host that reads the store sends its state at least this often, because other hosts
+ * copy its records only while they know how old these are. */
+#define READER_INTERVAL_US (JD_US_PER_S)
 /* A host sends at the configured interval for this long after its start, so that the
  * limits which hosts share soon include it. */
 #define FULL_RATE_PERIOD_US (3 * JD_US_PER_S)
@@ -58,6 +66,9 @@
   ev_timer admissions_timer;
   ev_timer hints_timer;
   uint64_t sequence;
+  jd_philox_t random;
+  uint32_t own_ip;
+  bool reads_store; /* This host did when it sent its last state message. */
   uint32_t peer_address_offset;
   int64_t started_us;
   int64_t last_sent_us;
@@ -128,23 +139,61 @@
     }
 }
 
-/* Sends a message to the hosts. A host whose datagram cannot be sent is skipped. */
+/* Sends a message to a host; one that cannot be sent is lost. */
 static void
-send_to (const jd_peer_gossip_t *gossip, const msgpack_sbuffer *message,
-         const uint32_t *ips, uint32_t count)
+send_to (const jd_peer_gossip_t *gossip, const msgpack_sbuffer *message, uint32_t ip)
 {
+  struct sockaddr_in address = {
+    .sin_family = AF_INET,
+    .sin_port = htons (gossip->options.port),
+    .sin_addr = { .s_addr = htonl (ip) },
+  };
+  if (sendto (gossip->fd, message->data, message->size, 0, (struct sockaddr *)&address,
+              sizeof (address)) < 0 &&
+      errno != EAGAIN)
+    jd_log_event (G_LOG_LEVEL_DEBUG, "gossip_send_failed", "error=%s",
+                  g_strerror (errno));
+}
+
+/* Writes a message of the kind MESSAGE_RELAY or MESSAGE_FORWARDED around another one, of
+ * the host with origin_ip. The caller destroys the buffer. */
+static void
+wrap_message (msgpack_sbuffer *wrapped, uint8_t kind, uint32_t origin_ip,
+              const char *bytes, size_t size)
+{
+  msgpack_packer packer;
+  msgpack_sbuffer_init (wrapped);
+  msgpack_packer_init (&packer, wrapped, msgpack_sbuffer_write);
+  msgpack_pack_uint8 (&packer, kind);
+  msgpack_pack_uint32 (&packer, origin_ip);
+  msgpack_sbuffer_write (wrapped, bytes, size);
+}
+
+/* Sends a message of this host to all live hosts, to those of other zones by relays. */
+static void
+send_to_live (jd_peer_gossip_t *gossip, const msgpack_sbuffer *message, int64_t now_us)
+{
+  jd_peer_receiver_t receivers[HOSTS_MAX];
+  jd_rng_t rng = jd_philox_rng (&gossip->random);
+  uint32_t count =
+      jd_peer_spread_choose (gossip->options.peers, &rng, receivers, HOSTS_MAX, now_us);
+  msgpack_sbuffer relayed;
+  wrap_message (&relayed, MESSAGE_RELAY, gossip->own_ip, message->data, message->size);
+  for (uint32_t i = 0; i < count; i++)
+    send_to (gossip, receivers[i].is_relay ? &relayed : message, receivers[i].ip);
+  msgpack_sbuffer_destroy (&relayed);
+}
+
+/* Sends a message to the hosts that are not live and are due for one. */
+static void
+send_to_silent (jd_peer_gossip_t *gossip, const msgpack_sbuffer *message, int64_t now_us)
+{
+  uint32_t ips[HOSTS_MAX];
+  uint32_t count = jd_peer_table_due_ips (gossip->options.peers, ips, HOSTS_MAX, now_us);
   for (uint32_t i = 0; i < count; i++)
     {
-      struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_port = htons (gossip->options.port),
-        .sin_addr = { .s_addr = htonl (ips[i]) },
-      };
-      if (sendto (gossip->fd, message->data, message->size, 0,
-                  (struct sockaddr *)&address, sizeof (address)) < 0 &&
-          errno != EAGAIN)
-        jd_log_event (G_LOG_LEVEL_DEBUG, "gossip_send_failed", "error=%s",
-                      g_strerror (errno));
+      if (!jd_peer_table_is_live (gossip->options.peers, ips[i], now_us))
+        send_to (gossip, message, ips[i]);
     }
 }
 
@@ -156,6 +205,8 @@
   jd_peer_state_t state = { 0 };
   gossip->options.fill_state (gossip->options.context, &state);
   gossip->last_sent_us = now_us;
+  gossip->own_ip = state.ip;
+  gossip->reads_store = state.reads_store;
   state.sequence = ++gossip->sequence;
   msgpack_sbuffer buffer;
   msgpack_packer packer;
@@ -166,11 +217,10 @@
   pack_peer_addresses (gossip, &packer, now_us);
   pack_reports (gossip, &packer, now_us);
   pack_extras (gossip, &packer);
-  uint32_t ips[HOSTS_MAX];
-  uint32_t count = jd_peer_table_due_ips (gossip->options.peers, ips, HOSTS_MAX, now_us);
   uint32_t copies = state.leaving ? LEAVING_COPIES : 1;
   for (uint32_t i = 0; i < copies; i++)
-    send_to (gossip, &buffer, ips, count);
+    send_to_live (gossip, &buffer, now_us);
+  send_to_silent (gossip, &buffer, now_us);
   msgpack_sbuffer_destroy (&buffer);
 }
 
@@ -192,9 +242,7 @@
   msgpack_pack_uint32 (&packer, state.ip);
   msgpack_pack_uint64 (&packer, state.incarnation);
   pack_reports (gossip, &packer, now_us);
-  uint32_t ips[HOSTS_MAX];
-  uint32_t count = jd_peer_table_live_ips (gossip->options.peers, ips, HOSTS_MAX, now_us);
-  send_to (gossip, &buffer, ips, count);
+  send_to_live (gossip, &buffer, now_us);
   msgpack_sbuffer_destroy (&buffer);
 }
 
@@ -222,10 +270,7 @@
       msgpack_pack_uint32 (&packer,
                            (uint32_t)(hints[i].latency_ratio * LATENCY_RATIO_SCALE));
     }
-  uint32_t ips[HOSTS_MAX];
-  uint32_t host_count =
-      jd_peer_table_live_ips (gossip->options.peers, ips, HOSTS_MAX, now_us);
-  send_to (gossip, &buffer, ips, host_count);
+  send_to_live (gossip, &buffer, now_us);
   msgpack_sbuffer_destroy (&buffer);
 }
 
@@ -348,27 +393,70 @@
     jd_target_hints_apply (gossip->options.registry, hints, count, jd_monotonic_us ());
 }
 
-/* Handles one datagram. An unreadable one is logged and ignored. */
+/* Handles a message of the host with origin_ip, from its kind on. */
 static void
-handle_datagram (jd_peer_gossip_t *gossip, const char *bytes, size_t size,
-                 uint32_t sender_ip)
+handle_message (jd_peer_gossip_t *gossip, jd_wire_reader_t *reader, uint64_t kind,
+                uint32_t origin_ip)
 {
-  jd_wire_reader_t reader;
-  jd_wire_reader_init (&reader, bytes, size);
-  switch (jd_wire_read_unsigned (&reader, UINT8_MAX))
+  switch (kind)
     {
     case MESSAGE_STATE:
-      handle_state (gossip, &reader, sender_ip);
+      handle_state (gossip, reader, origin_ip);
       break;
     case MESSAGE_ADMISSIONS:
-      handle_admissions (gossip, &reader);
+      handle_admissions (gossip, reader);
       break;
     case MESSAGE_HINTS:
-      handle_hints (gossip, &reader);
+      handle_hints (gossip, reader);
       break;
     default:
-      jd_wire_reader_fail (&reader, "unknown message kind or format version");
+      jd_wire_reader_fail (reader, "unknown message kind or format version");
+    }
+}
+
+/* Handles a message around another one, and forwards that one to the hosts of this zone
+ * if this host is its relay. A relayed message comes from its origin, and a forwarded one
+ * from a live host, because the origin cannot be verified. */
+static void
+handle_wrapped (jd_peer_gossip_t *gossip, jd_wire_reader_t *reader, bool is_relay,
+                uint32_t sender_ip)
+{
+  uint32_t origin_ip = (uint32_t)jd_wire_read_unsigned (reader, UINT32_MAX);
+  size_t header_bytes = reader->offset_bytes;
+  uint64_t kind = jd_wire_read_unsigned (reader, UINT8_MAX);
+  int64_t now_us = jd_monotonic_us ();
+  if (!reader->failure && is_relay && origin_ip != sender_ip)
+    jd_wire_reader_fail (reader, "address is not that of the sender");
+  if (!is_relay && !jd_peer_table_is_live (gossip->options.peers, sender_ip, now_us))
+    return;
+  handle_message (gossip, reader, kind, origin_ip);
+  if (reader->failure || !is_relay)
+    return;
+  msgpack_sbuffer forwarded;
+  wrap_message (&forwarded, MESSAGE_FORWARDED, origin_ip, reader->bytes + header_bytes,
+                reader->length_bytes - header_bytes);
+  uint32_t ips[HOSTS_MAX];
+  uint32_t count = jd_peer_table_zone_ips (gossip->options.peers, ips, HOSTS_MAX, now_us);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (ips[i] != origin_ip)
+        send_to (gossip, &forwarded, ips[i]);
     }
+  msgpack_sbuffer_destroy (&forwarded);
+}
+
+/* Handles one datagram. An unreadable one is logged and ignored. */
+static void
+handle_datagram (jd_peer_gossip_t *gossip, const char *bytes, size_t size,
+                 uint32_t sender_ip)
+{
+  jd_wire_reader_t reader;
+  jd_wire_reader_init (&reader, bytes, size);
+  uint64_t kind = jd_wire_read_unsigned (&reader, UINT8_MAX);
+  if (kind == MESSAGE_RELAY || kind == MESSAGE_FORWARDED)
+    handle_wrapped (gossip, &reader, kind == MESSAGE_RELAY, sender_ip);
+  else
+    handle_message (gossip, &reader, kind, sender_ip);
   if (reader.failure)
     jd_log_event (G_LOG_LEVEL_WARNING, "gossip_unreadable", "cause=\"%s\" bytes=%zu",
                   reader.failure, size);
@@ -406,9 +494,13 @@
   double factor = is_new ? 1.0 : MAX ((double)host_count / FULL_RATE_HOSTS, 1.0);
   int64_t interval_us =
       (int64_t)(gossip->options.interval_s * factor * (double)JD_US_PER_S);
+  jd_peer_table_set_interval (gossip->options.peers, interval_us);
+  jd_fleet_quota_set_interval (gossip->options.quota, interval_us);
+  if (gossip->reads_store)
+    interval_us = MIN (interval_us, READER_INTERVAL_US);
   if (now_us - gossip->last_sent_us >= interval_us - interval_us / 8)
     jd_peer_gossip_send_state (gossip);
-  timer->repeat = gossip->options.interval_s * factor;
+  timer->repeat = (double)interval_us / (double)JD_US_PER_S;
   ev_timer_again (loop, timer);
 }
 
@@ -425,6 +517,7 @@
   gossip->options = *options;
   gossip->fd = fd;
   gossip->started_us = jd_monotonic_us ();
+  gossip->random.seed = jd_entropy ();
   ev_io_init (&gossip->io, on_datagram, fd, EV_READ);
   gossip->io.data = gossip;
   ev_io_start (options->loop, &gossip->io);
--- a/test/unit/test_peer_gossip.c
+++ b/test/unit/test_peer_gossip.c
@@ -167,7 +167,7 @@
   msgpack_packer packer;
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_uint8 (&packer, (uint8_t)(2 + jd_rng_below (rng, 5)));
+  msgpack_pack_uint8 (&packer, (uint8_t)(2 + jd_rng_below (rng, 7)));
   for (uint64_t i = jd_rng_below (rng, 30); i > 0; i--)
     {
       switch (jd_rng_below (rng, 5))
@@ -195,12 +195,31 @@
   return size;
 }
 
-/* Copies a message, changes some of its bytes and truncates some messages. Returns the
- * size of the datagram. */
+/* Writes a message of the host with origin_ip as one to a relay, or from a relay. Returns
+ * the size of the datagram. */
+static size_t
+wrap_message (char *datagram, bool is_forwarded, uint32_t origin_ip, const char *message,
+              size_t size)
+{
+  const uint8_t header[] = {
+    is_forwarded ? 7 : 6,       0xce, /* Kind; an unsigned integer of 32 bits follows. */
+    (uint8_t)(origin_ip >> 24), (uint8_t)(origin_ip >> 16),
+    (uint8_t)(origin_ip >> 8),  (uint8_t)origin_ip,
+  };
+  memcpy (datagram, header, sizeof (header));
+  memcpy (datagram + sizeof (header), message, size);
+  return size + sizeof (header);
+}
+
+/* Copies a message, wraps some, changes some of its bytes and truncates some messages.
+ * Returns the size of the datagram. */
 static size_t
 corrupt_message (char *datagram, const char *message, size_t size, const jd_rng_t *rng)
 {
-  memcpy (datagram, message, size);
+  if (jd_rng_below (rng, 2) == 0)
+    size = wrap_message (datagram, jd_rng_below (rng, 2), 0x7f000002, message, size);
+  else
+    memcpy (datagram, message, size);
   jd_corrupt_bytes (datagram, size, jd_rng_below (rng, 6), NULL, rng);
   return jd_rng_below (rng, 4) ? size : jd_rng_below (rng, size);
 }
@@ -250,12 +269,84 @@
   g_free (node_address);
 }
 
+/* Writes a state message of a host of zone "b". Returns its size. */
+static size_t
+pack_state_message (char *message, uint32_t ip)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_uint8 (&packer, 5);
+  msgpack_pack_uint32 (&packer, ip);
+  msgpack_pack_uint64 (&packer, 1); /* Incarnation. */
+  msgpack_pack_uint64 (&packer, 1); /* Sequence. */
+  msgpack_pack_str_with_body (&packer, "origin", 6);
+  msgpack_pack_str_with_body (&packer, "b", 1);
+  for (uint32_t i = 0; i < 6; i++)
+    msgpack_pack_int64 (&packer, 0); /* Two flags, three revisions and an age. */
+  for (uint32_t i = 0; i < 3; i++)
+    msgpack_pack_array (&packer, 0); /* Addresses, reports and extra attempts. */
+  size_t size = buffer.size;
+  memcpy (message, buffer.data, size);
+  msgpack_sbuffer_destroy (&buffer);
+  return size;
+}
+
+/* Guards against messages that hosts behind a relay do not get, and against forged ones:
+ * a relayed message comes from its origin, and a forwarded one from a live host. */
+static void
+relays_forward_messages_to_their_zone (void)
+{
+  enum
+  {
+    ORIGIN = 0x7f000009,
+  };
+  static const struct
+  {
+    bool is_forwarded;
+    uint32_t sent_by; /* Last byte of the address of the sender. */
+    bool is_valid;
+  } cases[] = { { true, 9, false }, { false, 8, false }, { false, 9, true } };
+  struct ev_loop *loop = ev_loop_new (0);
+  uint16_t port = jd_test_free_port ();
+  jd_gossip_node_t nodes[NODE_COUNT];
+  for (uint32_t i = 0; i < NODE_COUNT; i++)
+    open_node (&nodes[i], loop, i, port, 0);
+  run_for (loop, 0.6);
+  char message[DATAGRAM_BYTES_MAX], datagram[DATAGRAM_BYTES_MAX];
+  size_t size = pack_state_message (message, ORIGIN);
+  struct sockaddr_in relay = { .sin_family = AF_INET,
+                               .sin_port = htons (port),
+                               .sin_addr = { .s_addr = htonl (0x7f000001) } };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *address = g_strdup_printf ("127.0.0.%u:%u", cases[i].sent_by, port);
+      int fd = jd_socket_listen (address, SOCK_DGRAM, 0, NULL);
+      CU_ASSERT_TRUE_FATAL (fd >= 0);
+      size_t length =
+          wrap_message (datagram, cases[i].is_forwarded, ORIGIN, message, size);
+      sendto (fd, datagram, length, 0, (struct sockaddr *)&relay, sizeof (relay));
+      run_for (loop, 0.2);
+      int64_t now_us = jd_monotonic_us ();
+      for (uint32_t n = 0; n < NODE_COUNT; n++)
+        CU_ASSERT_EQUAL (jd_peer_table_is_live (nodes[n].peers, ORIGIN, now_us),
+                         cases[i].is_valid);
+      close (fd);
+      g_free (address);
+    }
+  for (uint32_t i = 0; i < NODE_COUNT; i++)
+    close_node (&nodes[i]);
+  ev_loop_destroy (loop);
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
     { "large fleet receives admissions before the next state message",
       large_fleet_receives_admissions_early },
+    { "relays forward messages to their zone", relays_forward_messages_to_their_zone },
     { "hosts exchange messages after corrupt datagrams",
       messages_arrive_after_corrupt_datagrams },
   };
