feat(routing): keep idle connections only where targets accept them all

Cause: after a sixth of the targets had left, some services had one target for 295 hosts, which accepts 175 connections. Ruled out: uneven choice of replicas as the cause of the busiest target (4.47 times the mean): a service with one target left gives it three times the mean. Change: if the usable targets of a service accept fewer connections than there are hosts, only as many hosts as they accept keep idle ones; the hosts differ by service. The others close theirs 0.2 s after a request.

--- a/src/routing/connection_share.c
+++ b/src/routing/connection_share.c
@@ -45,6 +45,19 @@
   return CLAMP (limit, 1, HOST_CONNECTIONS_MAX);
 }
 
+/* Returns TRUE if a host may keep an idle connection to a service. If its targets accept
+ * fewer connections than there are hosts, which is so for the last target of a service in
+ * a large fleet, only the first hosts by rank may. The others open connections for their
+ * requests only, so that targets accept those. Add a number of the service to the rank,
+ * so that these are other hosts for each service. */
+bool
+jd_connection_quota_keeps_idle (uint32_t max_connections, uint32_t hosts,
+                                uint32_t replicas, uint32_t rank)
+{
+  uint64_t keepers = (uint64_t)divided_connections (max_connections) * replicas;
+  return max_connections == 0 || keepers >= hosts || rank % MAX (hosts, 1) < keepers;
+}
+
 /* Marks up to wanted replicas whose is_local equals kind, starting at an index that
  * depends on the host's rank, so that hosts are spread evenly over the replicas. Returns
  * the number of marked replicas. */
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -94,6 +94,7 @@
   uint32_t references;
   char *service;
   GPtrArray *replicas;      /* jd_replica_t */
+  bool keeps_idle;          /* This host may keep idle connections to its targets. */
   uint32_t max_connections; /* Limit of one target, for all hosts together; 0: none. */
   double cold_per_s; /* Requests a second that a cold target can serve; 0: no limit. */
   jd_hedge_budget_t host_budget;   /* This host's budget of extra attempts. */
--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -97,6 +97,28 @@
   return pool;
 }
 
+/* Returns how many replicas of a pool the published records allow to be used. */
+static uint32_t
+count_published_for_use (const jd_replica_pool_t *pool)
+{
+  uint32_t count = 0;
+  for (guint i = 0; i < pool->replicas->len; i++)
+    {
+      const jd_replica_t *replica = pool->replicas->pdata[i];
+      count += !replica->draining && !replica->zone_drained;
+    }
+  return count;
+}
+
+/* Decides whether this host may keep idle connections to the targets of a pool. */
+static void
+update_keeps_idle (const jd_replica_registry_t *registry, jd_replica_pool_t *pool)
+{
+  pool->keeps_idle = jd_connection_quota_keeps_idle (
+      pool->max_connections, registry->hosts, MAX (count_published_for_use (pool), 1),
+      registry->rank + pool->service_hash % registry->hosts);
+}
+
 /* Decides which replicas of a pool this host connects to. */
 static void
 assign_connection_quotas (jd_replica_registry_t *registry, jd_replica_pool_t *pool)
@@ -126,6 +148,7 @@
     }
   if (preferred_replica)
     preferred_replica->keeps_connection = true;
+  update_keeps_idle (registry, pool);
   g_free (is_local);
   g_free (included);
 }
@@ -238,6 +261,7 @@
     replica = add_replica (registry, spec, now_us);
   bool was_draining = replica->draining;
   replica->draining = spec->draining;
+  update_keeps_idle (registry, replica->pool);
   replica->slots = spec->slots > 0 ? spec->slots : replica->slots;
   bool was_cold = replica->cold_until_us > now_us;
   if (spec->cold_left_us > 0)
@@ -322,6 +346,9 @@
       if (strcmp (replica->zone, zone) == 0)
         replica->zone_drained = drained;
     }
+  g_hash_table_iter_init (&iter, registry->by_service);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    update_keeps_idle (registry, value);
 }
 
 /* Sets how many hosts share the connections of each target, and the index of this host
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -32,6 +32,8 @@
 /* A connection that need not be kept open is closed after this idle time, so that other
  * hosts can connect. */
 #define SPARE_IDLE_TIMEOUT_US (2 * JD_US_PER_S)
+/* The same if the targets accept fewer connections than there are hosts. */
+#define SCARCE_IDLE_TIMEOUT_US (200 * JD_US_PER_MS)
 /* During this time after the start the number of hosts, and so the connection quota of
  * this host, is not determined yet. Connections are opened for waiting requests only. */
 #define WARM_UP_US (800 * JD_US_PER_MS)
@@ -853,7 +855,7 @@
 static bool
 should_keep_connection (const jd_replica_t *replica, int64_t now_us)
 {
-  if (!replica->in_connection_quota ||
+  if (!replica->in_connection_quota || !replica->pool->keeps_idle ||
       jd_replica_access (replica, now_us) == JD_TARGET_ACCESS_LAST_RESORT ||
       jd_replica_open_in_us (replica, now_us) == INT64_MAX)
     return false;
@@ -884,9 +886,10 @@
         return true;
       fail_connect (connection, "timeout");
       return false;
-    case CONNECTION_IDLE:
-      if ((should_keep_connection (link->replica, now_us) ||
-           age_us < SPARE_IDLE_TIMEOUT_US) &&
+    case CONNECTION_IDLE:;
+      int64_t spare_timeout_us = link->replica->pool->keeps_idle ? SPARE_IDLE_TIMEOUT_US
+                                                                 : SCARCE_IDLE_TIMEOUT_US;
+      if ((should_keep_connection (link->replica, now_us) || age_us < spare_timeout_us) &&
           (connection->idle_limit_us == 0 ||
            age_us <= connection->idle_limit_us - IDLE_MARGIN_US))
         return true;
--- a/test/unit/test_connection_share.c
+++ b/test/unit/test_connection_share.c
@@ -46,6 +46,36 @@
     }
 }
 
+/* Guards against idle connections of all hosts to the last target of a service, which
+ * accepts fewer: targets reset 313,821 connections of 295 hosts after a sixth of the
+ * targets had left (lamplight-search-large trouble-1). As many hosts as the targets
+ * accept may keep one, and with enough room all of them. */
+static void
+few_targets_do_not_get_idle_connections_of_all_hosts (void)
+{
+  static const struct
+  {
+    uint32_t hosts, replicas, max_connections, keepers_min, keepers_max;
+  } fleets[] = { { 295, 1, 175, 140, 175 },
+                 { 295, 2, 175, 295, 295 },
+                 { 1200, 2, 175, 280, 350 },
+                 { 9, 1, 26, 9, 9 },
+                 { 40, 1, 0, 40, 40 } };
+  for (size_t f = 0; f < G_N_ELEMENTS (fleets); f++)
+    {
+      for (uint32_t service = 0; service < 5; service++)
+        {
+          uint32_t keepers = 0;
+          for (uint32_t rank = 0; rank < fleets[f].hosts; rank++)
+            keepers += jd_connection_quota_keeps_idle (
+                fleets[f].max_connections, fleets[f].hosts, fleets[f].replicas,
+                rank + service * 1000);
+          CU_ASSERT_TRUE (keepers >= fleets[f].keepers_min &&
+                          keepers <= fleets[f].keepers_max);
+        }
+    }
+}
+
 /* Guards against a host that opens no connections if a service has no limit. */
 static void
 service_without_a_limit (void)
@@ -59,6 +89,8 @@
 {
   static const jd_test_case_t cases[] = {
     { "hosts together stay within the limit", hosts_together_stay_within_the_limit },
+    { "few targets do not get idle connections of all hosts",
+      few_targets_do_not_get_idle_connections_of_all_hosts },
     { "service without a limit", service_without_a_limit },
   };
   return JD_TEST_RUN ("connection_share", cases);
