--- a/src/daemons/host_metrics.c
+++ b/src/daemons/host_metrics.c
@@ -199,6 +199,20 @@
     }
 }
 
+/* Appends the counts of live hosts and of messages to them. */
+static void
+append_peer_messages (GString *text, const jd_host_t *host, int64_t now_us)
+{
+  jd_peer_gossip_counts_t counts = jd_peer_gossip_counts (host->gossip);
+  g_string_append_printf (text,
+                          "jackdaw_hosts_live %u\n"
+                          "jackdaw_peer_messages_sent_total %" G_GUINT64_FORMAT "\n"
+                          "jackdaw_peer_messages_forwarded_total %" G_GUINT64_FORMAT "\n"
+                          "jackdaw_peer_bytes_sent_total %" G_GUINT64_FORMAT "\n",
+                          jd_peer_table_live_count (host->peers, now_us) + 1, counts.sent,
+                          counts.forwarded, counts.sent_bytes);
+}
+
 /* Metrics server callback: answers with all metrics in the Prometheus text format. */
 void
 jd_host_answer_metrics (void *context, jd_caller_t *caller,
@@ -222,6 +236,7 @@
       "jackdaw_held_bytes %" G_GUINT64_FORMAT
       "\njackdaw_held_bytes_limit %" G_GUINT64_FORMAT "\n"
       "jackdaw_target_connections %u\njackdaw_target_connections_opened_total "
+      "%" G_GUINT64_FORMAT "\njackdaw_target_connections_refused_total "
       "%" G_GUINT64_FORMAT "\njackdaw_caller_connections %u\n"
       "jackdaw_configuration_version %" G_GINT64_FORMAT "\n"
       "jackdaw_records_age_seconds %.3f\njackdaw_reads_store %d\n"
@@ -231,12 +246,14 @@
       host->byte_budget.held_bytes, host->byte_budget.limit_bytes,
       jd_replica_links_open_count (host->links),
       jd_replica_links_opened_total (host->links),
+      jd_replica_links_refused_total (host->links),
       jd_caller_server_connection_count (host->caller_server),
       host->routes ? host->routes->version : 0,
       (double)(faults.now_us - jd_record_feed_as_of_us (host->feed)) /
           (double)JD_US_PER_S,
       jd_record_source_reads_store (host->record_source, faults.now_us),
       held_until_us > faults.now_us, (guint64)jd_log_lost_lines ());
+  append_peer_messages (text, host, faults.now_us);
   GString *fields = g_string_new ("Content-Type: text/plain; version=0.0.4\r\n");
   jd_caller_answer (caller, 200, fields, text->str, text->len);
   g_string_free (fields, TRUE);
--- a/src/transport/peer_gossip.c
+++ b/src/transport/peer_gossip.c
@@ -67,6 +67,7 @@
   ev_timer hints_timer;
   uint64_t sequence;
   jd_philox_t random;
+  jd_peer_gossip_counts_t counts;
   uint32_t own_ip;
   bool reads_store; /* This host did when it sent its last state message. */
   uint32_t peer_address_offset;
@@ -141,7 +142,7 @@
 
 /* Sends a message to a host; one that cannot be sent is lost. */
 static void
-send_to (const jd_peer_gossip_t *gossip, const msgpack_sbuffer *message, uint32_t ip)
+send_to (jd_peer_gossip_t *gossip, const msgpack_sbuffer *message, uint32_t ip)
 {
   struct sockaddr_in address = {
     .sin_family = AF_INET,
@@ -153,6 +154,8 @@
       errno != EAGAIN)
     jd_log_event (G_LOG_LEVEL_DEBUG, "gossip_send_failed", "error=%s",
                   g_strerror (errno));
+  gossip->counts.sent++;
+  gossip->counts.sent_bytes += message->size;
 }
 
 /* Writes a message of the kind MESSAGE_RELAY or MESSAGE_FORWARDED around another one, of
@@ -439,8 +442,10 @@
   uint32_t count = jd_peer_table_zone_ips (gossip->options.peers, ips, HOSTS_MAX, now_us);
   for (uint32_t i = 0; i < count; i++)
     {
-      if (ips[i] != origin_ip)
-        send_to (gossip, &forwarded, ips[i]);
+      if (ips[i] == origin_ip)
+        continue;
+      send_to (gossip, &forwarded, ips[i]);
+      gossip->counts.forwarded++;
     }
   msgpack_sbuffer_destroy (&forwarded);
 }
@@ -543,3 +548,10 @@
   close (gossip->fd);
   g_free (gossip);
 }
+
+/* Returns the counts of messages since the start. */
+jd_peer_gossip_counts_t
+jd_peer_gossip_counts (const jd_peer_gossip_t *gossip)
+{
+  return gossip->counts;
+}
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -27,8 +27,17 @@
   void *context;
 } jd_peer_gossip_options_t;
 
+/* Messages to other hosts since the start. */
+typedef struct jd_peer_gossip_counts
+{
+  uint64_t sent; /* Includes forwarded ones. */
+  uint64_t forwarded;
+  uint64_t sent_bytes;
+} jd_peer_gossip_counts_t;
+
 jd_peer_gossip_t *jd_peer_gossip_new (const jd_peer_gossip_options_t *options,
                                       GError **error);
 void jd_peer_gossip_free (jd_peer_gossip_t *gossip);
 void jd_peer_gossip_send_state (jd_peer_gossip_t *gossip);
 void jd_peer_gossip_schedule_admissions (jd_peer_gossip_t *gossip);
+jd_peer_gossip_counts_t jd_peer_gossip_counts (const jd_peer_gossip_t *gossip);
--- a/test/process/test_host.c
+++ b/test/process/test_host.c
@@ -707,6 +707,9 @@
   static const char *const expected[] = {
     "jackdaw_request_seconds_count{kind=\"search\",end=\"served\"} 3\n",
     "jackdaw_requests_total{end=\"served\"} 3\n",
+    "jackdaw_hosts_live 1\n",
+    "jackdaw_target_connections_refused_total 0\n",
+    "jackdaw_peer_messages_forwarded_total 0\n",
     "jackdaw_phase_seconds{phase=\"connection\",quantile=\"0.99\"} ",
     "jackdaw_phase_seconds_count{phase=\"target\"} 1", /* 12 or more. */
     "jackdaw_phase_seconds_count{phase=\"answer\"} 3\n",
