fix(membership): ask only unheard hosts often; use the fleet's interval at once

Change: only hosts that were never heard are asked every 0.2 s; the times after which hosts are silent follow the interval of the fleet from the start; one unused case of set_named is gone. Measured: test_peer_table, test_peer_gossip, test_fleet_quota and process_test_host passed; lint passed.

--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -24,9 +24,9 @@
 #define UNHEARD_MAX 512
 /* Interval of messages to a silent host. */
 #define RETRY_INTERVAL_US (2 * JD_US_PER_S)
-/* The same while no host is live: after a restart of all hosts the seeds may start a
- * moment later than this host. */
-#define LONELY_RETRY_INTERVAL_US (200 * JD_US_PER_MS)
+/* The same for hosts that were never heard, while no host is live: after a restart of all
+ * hosts the seeds may start a moment later than this host. */
+#define FIRST_CONTACT_INTERVAL_US (200 * JD_US_PER_MS)
 /* Records that are older than this are not copied from another host. */
 #define MAX_SOURCE_AGE_US (2500 * JD_US_PER_MS)
 
@@ -301,22 +301,24 @@
 
 /* Writes the addresses to which the next message goes to ips and returns their number, at
  * most max: all live and new hosts, and silent ones every RETRY_INTERVAL_US, or more
- * often while no host is live. Records now_us as the time of the last message to them. */
+ * often if they were never heard and no host is live. Records now_us as the time of the
+ * last message to them. */
 uint32_t
 jd_peer_table_due_ips (jd_peer_table_t *table, uint32_t *ips, uint32_t max,
                        int64_t now_us)
 {
   uint32_t count = 0;
-  int64_t retry_interval_us = jd_peer_table_live_count (table, now_us) > 0
-                                  ? RETRY_INTERVAL_US
-                                  : LONELY_RETRY_INTERVAL_US;
+  bool is_alone = jd_peer_table_live_count (table, now_us) == 0;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, table->by_ip);
   while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
     {
       jd_peer_t *peer = value;
-      bool is_new = peer->last_message_us == 0 && peer->last_send_us == 0;
+      bool was_heard = peer->last_message_us > 0;
+      bool is_new = !was_heard && peer->last_send_us == 0;
+      int64_t retry_interval_us =
+          is_alone && !was_heard ? FIRST_CONTACT_INTERVAL_US : RETRY_INTERVAL_US;
       if (!is_new && !is_live (table, peer, now_us) &&
           now_us - peer->last_send_us < retry_interval_us)
         continue;
--- a/src/routing/route_table.c
+++ b/src/routing/route_table.c
@@ -247,15 +247,14 @@
   return wanted_count > 0 && unreachable_count == wanted_count;
 }
 
-/* Sets when the service of each part of a route was named; 0 keeps no time, and a service
- * that is named already keeps its own. */
+/* Sets when the service of each part of a route was named, unless it is named already. */
 static void
 set_named (const jd_route_t *route, int64_t named_us)
 {
   for (guint i = 0; i < route->parts->len; i++)
     {
       jd_service_use_t *use = &g_array_index (route->parts, jd_route_part_t, i).pool->use;
-      if (named_us == 0 || use->named_us == 0)
+      if (use->named_us == 0)
         use->named_us = named_us;
     }
 }
--- a/src/transport/peer_gossip.c
+++ b/src/transport/peer_gossip.c
@@ -495,12 +495,15 @@
   int64_t now_us = jd_monotonic_us ();
   jd_peer_table_expire (gossip->options.peers, now_us);
   uint32_t host_count = jd_peer_table_host_count (gossip->options.peers, now_us);
+  /* Interval of the other hosts, as far as they have been running for some time. */
+  int64_t fleet_interval_us = (int64_t)(gossip->options.interval_s * (double)JD_US_PER_S *
+                                        MAX ((double)host_count / FULL_RATE_HOSTS, 1.0));
+  jd_peer_table_set_interval (gossip->options.peers, fleet_interval_us);
+  jd_fleet_quota_set_interval (gossip->options.quota, fleet_interval_us);
   bool is_new = now_us - gossip->started_us < FULL_RATE_PERIOD_US;
-  double factor = is_new ? 1.0 : MAX ((double)host_count / FULL_RATE_HOSTS, 1.0);
-  int64_t interval_us =
-      (int64_t)(gossip->options.interval_s * factor * (double)JD_US_PER_S);
-  jd_peer_table_set_interval (gossip->options.peers, interval_us);
-  jd_fleet_quota_set_interval (gossip->options.quota, interval_us);
+  int64_t interval_us = is_new
+                            ? (int64_t)(gossip->options.interval_s * (double)JD_US_PER_S)
+                            : fleet_interval_us;
   if (gossip->reads_store)
     interval_us = MIN (interval_us, READER_INTERVAL_US);
   if (now_us - gossip->last_sent_us >= interval_us - interval_us / 8)
