--- a/test/unit/test_fleet_quota.c
+++ b/test/unit/test_fleet_quota.c
@@ -209,8 +209,9 @@
 
 /* Guards against hosts of a large fleet that are mistaken for silent between two of their
  * heartbeats, which are 3 s apart there: the tenant was charged with requests that they
- * never admitted. Observed: 41 answers with 429 on a day without faults, none of an
- * organisation beyond its rate (lamplight-search-large quiet-1). */
+ * never admitted.
+ * Observed: 41 answers with 429 on a day without faults (lamplight-search-large quiet-1).
+ */
 static void
 demand_within_rate_is_admitted_by_a_large_fleet (void)
 {
