--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 """Hosts must not crash while backends of some services are silent and their entries lapse.
 
-Nine hosts serve 100 services of two backends each, and one service whose sound backends work
-on edits all the while. The backends of 14 services at a time are silent for 5.1 s, so the
+Nine hosts serve 150 services of two backends each, and one service whose sound backends work
+on edits all the while. The backends of 21 services at a time are silent for 5.1 s, so the
 store removes their entries after three heartbeat intervals. Clients ask these services.
 """
 import os
@@ -17,8 +17,8 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "rig"))
 import rig  # noqa: E402
 
-SERVICES = 100
-SILENT_SERVICES = 14  # 28 of 200 backends.
+SERVICES = 150
+SILENT_SERVICES = 21  # 42 of 300 backends.
 SILENT_S = 5.1
 ROUNDS = 20
 LIMIT_MS = 3000
