fix(transport): free the links of removed targets in the timer only

Cause: on_maintenance () keeps a pointer to the next link while it ends an exchange at its deadline. The owner of that exchange cancels its attempt at another target, and free_link_if_unused () frees that link if its target was removed. The counter of users protected the links that a function itself used, not those of the loop further up the stack. Ruled out: a fault in the owner (cancelling within on_done is allowed); the list of connections within a link (the loop leaves it after any change). Evidence: the new test, whose owner has no timer of its own, stops with heap-use-after-free at replica_links.c:945, freed through jd_exchange_cancel (), and the build without sanitizers crashes. Change: only the timer frees links, each when it reaches it, so no pointer to another link can go stale. The counter of users is gone. A retired link takes no new exchange; before, it had been freed or waited without end.

--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -85,7 +85,6 @@
   int64_t open_after_us;         /* No connection is opened before this time. */
   jd_connection_upkeep_t upkeep; /* Of connections that no request waits for. */
   int64_t idle_limit_us;         /* Last idle timeout that the target stated; 0: none. */
-  uint32_t users;                /* Callers further up the stack that use the link. */
   bool retired;
 };
 
@@ -185,13 +184,12 @@
     owner.on_done (owner.context, owner.tag, link->replica, result);
 }
 
-/* Frees a retired link without connections, waiting exchanges and users. */
+/* Frees a link without connections and waiting exchanges. Only the maintenance timer and
+ * jd_replica_links_free () may call this: an owner that is told the result of an exchange
+ * may cancel others, so code further up the stack may be using any link. */
 static void
-free_link_if_unused (jd_link_t *link)
+free_link (jd_link_t *link)
 {
-  if (!link->retired || link->connections.length > 0 || link->waiting.length > 0 ||
-      link->users > 0)
-    return;
   g_queue_unlink (&link->links->all, &link->node);
   link->replica->link = NULL;
   jd_replica_unref (link->replica);
@@ -236,8 +234,7 @@
   ev_io_start (loop, &connection->io);
 }
 
-/* Ends all exchanges that wait for a connection with the outcome, as not sent. The link
- * must be in use. */
+/* Ends all exchanges that wait for a connection with the outcome, as not sent. */
 static void
 fail_waiting_exchanges (jd_link_t *link, jd_replica_outcome_t outcome)
 {
@@ -298,7 +295,7 @@
 }
 
 /* Ends the exchanges that wait for a connection to a target that wants no requests, so
- * that they are sent to others. The link must be in use. */
+ * that they are sent to others. */
 static void
 release_waiting_exchanges (jd_link_t *link)
 {
@@ -318,12 +315,11 @@
 }
 
 /* Closes an open connection that failed. Its exchange, if any, ends with the outcome as
- * one that the target may have run. The link may be freed. */
+ * one that the target may have run. */
 static void
 fail_connection (jd_connection_t *connection, jd_replica_outcome_t outcome)
 {
   jd_link_t *link = connection->link;
-  link->users++;
   jd_exchange_t *exchange = connection->exchange;
   int64_t now_us = jd_monotonic_us ();
   bool is_over_limit = !exchange &&
@@ -357,8 +353,6 @@
     }
   release_waiting_exchanges (link);
   start_waiting_exchanges (link);
-  link->users--;
-  free_link_if_unused (link);
 }
 
 /* Budget callback: ends a connection whose answer takes too much memory. */
@@ -377,14 +371,13 @@
 }
 
 /* Handles a connection that could not be opened. Waiting exchanges fail if the replica
- * has no other connection. The link may be freed. */
+ * has no other connection. */
 static void
 fail_connect (jd_connection_t *connection, const char *cause)
 {
   jd_link_t *link = connection->link;
   jd_log_event (G_LOG_LEVEL_INFO, "target_unreachable", "target=%s service=%s cause=%s",
                 link->replica->id, link->replica->pool->service, cause);
-  link->users++;
   close_connection (connection);
   int64_t now_us = jd_monotonic_us ();
   record_refusal (link, now_us);
@@ -392,8 +385,6 @@
   bool has_other_connections = link->connections.length > 0;
   if (!has_other_connections)
     fail_waiting_exchanges (link, JD_REPLICA_UNREACHABLE);
-  link->users--;
-  free_link_if_unused (link);
 }
 
 /* Sends pending output, as far as the socket accepts it. The next read reports a failed
@@ -626,7 +617,6 @@
                    !connection->close_after_answer &&
                    connection->output_sent == connection->output->len && !link->retired &&
                    result.outcome != JD_REPLICA_REPLACED;
-  link->users++;
   connection->exchange = NULL;
   connection->state = CONNECTION_IDLE;
   connection->state_since_us = now_us;
@@ -653,12 +643,9 @@
     close_connection (connection);
   release_waiting_exchanges (link);
   start_waiting_exchanges (link);
-  link->users--;
-  free_link_if_unused (link);
 }
 
-/* Handles bytes received from a target. The connection and its link may be freed
- * afterwards. */
+/* Handles bytes received from a target. The connection may be freed afterwards. */
 static void
 handle_input (jd_connection_t *connection, const char *data, size_t size)
 {
@@ -789,7 +776,7 @@
     }
 }
 
-/* Starts an attempt at a replica, or returns NULL if the replica has no link. The
+/* Starts an attempt at a replica, or returns NULL if the replica was retired. The
  * exchange holds a reference to outgoing. on_done of the owner is called once, never from
  * within this function, and not after jd_exchange_cancel (). The exchange is freed before
  * on_done. */
@@ -799,7 +786,7 @@
                        const jd_exchange_owner_t *owner)
 {
   jd_link_t *link = replica->link;
-  if (!link)
+  if (!link || link->retired)
     return NULL;
   jd_exchange_t *exchange = g_new0 (jd_exchange_t, 1);
   exchange->link = link;
@@ -839,7 +826,6 @@
       jd_outgoing_request_unref (exchange->outgoing);
       g_free (exchange);
       update_replica_counts (link);
-      free_link_if_unused (link);
       return;
     }
   if (linger_us <= 0)
@@ -888,8 +874,7 @@
 }
 
 /* Closes a connection that reached a timeout, or whose exchange reached its deadline.
- * Returns FALSE if it did, because the list of connections has changed and the link may
- * be freed. */
+ * Returns FALSE if it did, because the list of connections has changed. */
 static bool
 maintain_connection (jd_connection_t *connection, int64_t now_us)
 {
@@ -930,7 +915,7 @@
 
 /* Timer callback: closes connections that reached a timeout, tries unreachable targets
  * again and keeps a connection open to each replica that should have one, so that
- * requests do not wait for a connect. */
+ * requests do not wait for a connect. Frees retired links that are no longer used. */
 static void
 on_maintenance (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -942,6 +927,7 @@
   GList *next_link = NULL;
   for (GList *link_item = links->all.head; link_item; link_item = next_link)
     {
+      /* Owners may start and cancel exchanges meanwhile, but no other link is freed. */
       next_link = link_item->next;
       jd_link_t *link = link_item->data;
       GList *item = link->connections.head;
@@ -952,6 +938,11 @@
           is_unchanged = maintain_connection (item->data, now_us);
           item = next;
         }
+      if (link->retired && link->connections.length == 0 && link->waiting.length == 0)
+        {
+          free_link (link);
+          continue;
+        }
       /* The next tick continues with a link that has changed. */
       if (!is_unchanged || link->retired)
         continue;
@@ -998,7 +989,7 @@
 
 /* Closes all connections of a link, drops its exchanges and frees it. */
 static void
-free_link (jd_link_t *link)
+close_link (jd_link_t *link)
 {
   GList *next = NULL;
   for (GList *item = link->waiting.head; item; item = next)
@@ -1020,8 +1011,7 @@
         }
       close_connection (connection);
     }
-  link->retired = true;
-  free_link_if_unused (link);
+  free_link (link);
 }
 
 /* Closes all connections and frees them; on_done is not called for running exchanges. */
@@ -1033,7 +1023,7 @@
   for (GList *item = links->all.head; item; item = next)
     {
       next = item->next;
-      free_link (item->data);
+      close_link (item->data);
     }
   g_free (links);
 }
@@ -1083,10 +1073,7 @@
       if (connection->state != CONNECTION_BUSY)
         close_connection (connection);
     }
-  link->users++;
   fail_waiting_exchanges (link, JD_REPLICA_REPLACED);
-  link->users--;
-  free_link_if_unused (link);
 }
 
 /* Returns the number of connections that are open or being opened. */
--- /dev/null
+++ b/test/unit/test_replica_links.c
@@ -0,0 +1,237 @@
+#include "transport/replica_links.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "routing/replica_registry.h"
+#include "support/test_main.h"
+
+#define TARGETS_MAX 3
+#define WAIT_US (5 * JD_US_PER_S)
+
+/* A host's connections to targets whose side of each connection a test plays itself. */
+typedef struct jd_links_fixture
+{
+  struct ev_loop *loop;
+  jd_replica_registry_t *registry;
+  jd_replica_links_t *links;
+  int listeners[TARGETS_MAX];
+  uint32_t target_count;
+} jd_links_fixture_t;
+
+/* The end of an exchange, and exchanges that its owner cancels at that moment. */
+typedef struct jd_links_owner
+{
+  uint32_t done_count;
+  jd_replica_outcome_t outcome;
+  jd_exchange_t *cancelled[2]; /* NULL: none. */
+} jd_links_owner_t;
+
+static void
+add_link (void *context, jd_replica_t *replica)
+{
+  jd_links_fixture_t *fixture = context;
+  jd_replica_links_add (fixture->links, replica);
+}
+
+static void
+retire_link (void *context, jd_replica_t *replica)
+{
+  jd_links_fixture_t *fixture = context;
+  jd_replica_links_retire (fixture->links, replica);
+}
+
+/* Adds a target of the service "s" with a listener of its own. */
+static void
+add_target (jd_links_fixture_t *fixture)
+{
+  uint32_t index = fixture->target_count++;
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
+  socklen_t size = sizeof (address);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&address, size), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (fd, 16), 0);
+  getsockname (fd, (struct sockaddr *)&address, &size);
+  fixture->listeners[index] = fd;
+  char id[16];
+  g_snprintf (id, sizeof (id), "t%u", index);
+  jd_replica_spec_t spec = {
+    .id = id, .service = "s", .zone = "a", .address = address, .slots = 4
+  };
+  jd_replica_registry_put (fixture->registry, &spec, jd_monotonic_us ());
+}
+
+static void
+open_fixture (jd_links_fixture_t *fixture, uint32_t targets)
+{
+  *fixture = (jd_links_fixture_t){ .loop = ev_loop_new (EVFLAG_AUTO) };
+  jd_replica_links_options_t options = {
+    .loop = fixture->loop,
+    .fields = { .request_id = "I",
+                .deadline_ms = "D",
+                .expected_target_id = "E",
+                .signature = "S",
+                .not_run = "N",
+                .load = "O",
+                .cold_ms = "C",
+                .leaving = "L" },
+    .reply_body_limit_bytes = 1024 * 1024,
+  };
+  jd_replica_events_t events = { add_link, retire_link, fixture };
+  fixture->links = jd_replica_links_new (&options);
+  fixture->registry = jd_replica_registry_new ("a", &events);
+  for (uint32_t i = 0; i < targets; i++)
+    add_target (fixture);
+}
+
+static void
+close_fixture (jd_links_fixture_t *fixture)
+{
+  jd_replica_links_free (fixture->links);
+  jd_replica_registry_free (fixture->registry);
+  for (uint32_t i = 0; i < fixture->target_count; i++)
+    close (fixture->listeners[i]);
+  ev_loop_destroy (fixture->loop);
+}
+
+static jd_replica_t *
+target (const jd_links_fixture_t *fixture, uint32_t index)
+{
+  char id[16];
+  g_snprintf (id, sizeof (id), "t%u", index);
+  return jd_replica_registry_find (fixture->registry, id);
+}
+
+static void
+remove_target (jd_links_fixture_t *fixture, uint32_t index)
+{
+  char id[16];
+  g_snprintf (id, sizeof (id), "t%u", index);
+  jd_replica_registry_remove (fixture->registry, id, jd_monotonic_us ());
+}
+
+static void
+stop_loop (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+run_for (jd_links_fixture_t *fixture, double seconds)
+{
+  ev_timer timer;
+  ev_timer_init (&timer, stop_loop, seconds, 0.0);
+  ev_now_update (fixture->loop);
+  ev_timer_start (fixture->loop, &timer);
+  ev_run (fixture->loop, 0);
+  ev_timer_stop (fixture->loop, &timer);
+}
+
+/* Runs the event loop until the owner's exchange has ended or WAIT_US have passed. */
+static void
+run_until_done (jd_links_fixture_t *fixture, const jd_links_owner_t *owner)
+{
+  int64_t end_us = jd_monotonic_us () + WAIT_US;
+  while (owner->done_count == 0 && jd_monotonic_us () < end_us)
+    run_for (fixture, 0.01);
+}
+
+/* Accepts the next connection to a target; runs the event loop meanwhile. Returns -1
+ * after WAIT_US. */
+static int
+accept_connection (jd_links_fixture_t *fixture, uint32_t index)
+{
+  int fd = -1;
+  int64_t end_us = jd_monotonic_us () + WAIT_US;
+  while (fd < 0 && jd_monotonic_us () < end_us)
+    {
+      run_for (fixture, 0.01);
+      fd = accept4 (fixture->listeners[index], NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    }
+  CU_ASSERT_NOT_EQUAL_FATAL (fd, -1);
+  return fd;
+}
+
+static void
+cancel_exchanges (jd_links_owner_t *owner)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (owner->cancelled); i++)
+    {
+      jd_exchange_t *exchange = owner->cancelled[i];
+      owner->cancelled[i] = NULL;
+      if (exchange)
+        jd_exchange_cancel (exchange, 0);
+    }
+}
+
+static void
+on_done (void *context, uint32_t tag, jd_replica_t *replica,
+         const jd_exchange_result_t *result)
+{
+  jd_links_owner_t *owner = context;
+  owner->done_count++;
+  owner->outcome = result->outcome;
+  cancel_exchanges (owner);
+}
+
+/* Sends a request with a body to a target. */
+static jd_exchange_t *
+send_request (jd_links_fixture_t *fixture, uint32_t index, size_t body_bytes,
+              int64_t time_limit_us, jd_links_owner_t *owner)
+{
+  jd_outgoing_request_t *outgoing = jd_outgoing_request_new ("r1");
+  g_string_append_printf (outgoing->head,
+                          "POST /edit/1 HTTP/1.1\r\nHost: x\r\n"
+                          "Content-Length: %zu\r\n",
+                          body_bytes);
+  g_string_set_size (outgoing->body, body_bytes);
+  memset (outgoing->body->str, 'b', body_bytes);
+  outgoing->deadline_us = jd_monotonic_us () + time_limit_us;
+  jd_exchange_owner_t exchange_owner = { .on_done = on_done, .context = owner };
+  jd_exchange_t *exchange =
+      jd_replica_links_send (fixture->links, target (fixture, index), outgoing,
+                             10 * JD_US_PER_MS, &exchange_owner);
+  jd_outgoing_request_unref (outgoing);
+  return exchange;
+}
+
+/* Guards against a crash of hosts whose targets are silent and removed: the timer of the
+ * connections ended a request, whose owner cancelled the attempt at the next target, and
+ * went on with the freed connections of that target (review/1). */
+static void
+timer_survives_cancelled_attempt_at_removed_target (void)
+{
+  jd_links_fixture_t fixture;
+  jd_links_owner_t first = { 0 }, second = { 0 };
+  open_fixture (&fixture, 2);
+  send_request (&fixture, 0, 0, 200 * JD_US_PER_MS, &first);
+  first.cancelled[0] = send_request (&fixture, 1, 0, 60 * JD_US_PER_S, &second);
+  int connections[] = { accept_connection (&fixture, 0),
+                        accept_connection (&fixture, 1) };
+  run_for (&fixture, 0.01);
+  remove_target (&fixture, 0);
+  remove_target (&fixture, 1);
+  run_until_done (&fixture, &first);
+  CU_ASSERT_EQUAL (first.done_count, 1);
+  CU_ASSERT_NOT_EQUAL (first.outcome, JD_REPLICA_OK);
+  CU_ASSERT_EQUAL (second.done_count, 0);
+  run_for (&fixture, 0.3);
+  CU_ASSERT_EQUAL (jd_replica_links_open_count (fixture.links), 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (connections); i++)
+    close (connections[i]);
+  close_fixture (&fixture);
+}
+
+int
+main (void)
+{
+  static const jd_test_case_t cases[] = {
+    { "timer survives cancelled attempt at removed target",
+      timer_survives_cancelled_attempt_at_removed_target },
+  };
+  return JD_TEST_RUN ("replica_links", cases);
+}
