fix(transport): end no other exchange while one is cancelled

Cause: jd_exchange_cancel () closed the attempt's connection through fail_connection (), which ended the exchanges that waited for the same target, if it had asked for a pause. Their requests cancel attempts in turn, possibly one of the request that is cancelling: cancel_attempts () and jd_caller_server_free () would go on with freed memory. Ruled out: other owners told within a cancel: start_waiting_exchanges () tells none. Evidence: the new test counts one end of another owner's exchange within the cancel before, none after. Change: fail_connection () ends only its own exchange. The timer ends those that wait for a target in a pause, and none of them is started meanwhile. Measured: test_replica_links, "cancel ends no other exchange", failed before, passes after in both builds.

--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -294,14 +294,21 @@
                   (replica->notice->return_at_us - now_us) / JD_US_PER_MS);
 }
 
+/* Returns TRUE if the target wants no requests, including those that wait for a
+ * connection to it. */
+static bool
+wants_no_requests (const jd_link_t *link, int64_t now_us)
+{
+  return jd_target_notice_access (link->replica->notice, INT64_MAX, now_us) ==
+         JD_TARGET_ACCESS_CLOSED;
+}
+
 /* Ends the exchanges that wait for a connection to a target that wants no requests, so
  * that they are sent to others. */
 static void
 release_waiting_exchanges (jd_link_t *link)
 {
-  if (link->waiting.head &&
-      jd_target_notice_access (link->replica->notice, INT64_MAX, jd_monotonic_us ()) ==
-          JD_TARGET_ACCESS_CLOSED)
+  if (link->waiting.head && wants_no_requests (link, jd_monotonic_us ()))
     fail_waiting_exchanges (link, JD_REPLICA_PAUSED);
 }
 
@@ -315,7 +322,8 @@
 }
 
 /* Closes an open connection that failed. Its exchange, if any, ends with the outcome as
- * one that the target may have run. */
+ * one that the target may have run. No other exchange ends, so jd_exchange_cancel () may
+ * call this. */
 static void
 fail_connection (jd_connection_t *connection, jd_replica_outcome_t outcome)
 {
@@ -351,7 +359,6 @@
       };
       finish_exchange (exchange, &result);
     }
-  release_waiting_exchanges (link);
   start_waiting_exchanges (link);
 }
 
@@ -518,14 +525,21 @@
   ev_io_start (link->links->options.loop, &connection->io);
 }
 
-/* Starts waiting exchanges on idle connections. Opens one more connection if exchanges
- * still wait and the quota allows it. */
+/* Starts waiting exchanges on idle connections, unless the target wants none; the timer
+ * ends them then. Opens one more connection if exchanges still wait and the quota allows
+ * it. */
 static void
 start_waiting_exchanges (jd_link_t *link)
 {
+  int64_t now_us = jd_monotonic_us ();
+  if (link->waiting.head && wants_no_requests (link, now_us))
+    {
+      update_replica_counts (link);
+      return;
+    }
   while (link->waiting.head)
     {
-      jd_connection_t *connection = find_idle_connection (link, jd_monotonic_us ());
+      jd_connection_t *connection = find_idle_connection (link, now_us);
       if (!connection)
         break;
       jd_exchange_t *exchange = link->waiting.head->data;
@@ -533,8 +547,7 @@
       start_exchange (connection, exchange);
     }
   if (!link->retired && link->waiting.length > link->opening_count &&
-      link->connections.length < connection_limit (link) &&
-      jd_monotonic_us () >= link->open_after_us)
+      link->connections.length < connection_limit (link) && now_us >= link->open_after_us)
     open_connection (link);
   else
     update_replica_counts (link);
@@ -812,9 +825,10 @@
   return exchange;
 }
 
-/* Cancels an exchange; on_done is not called for it. If the request was sent, the
- * connection waits up to linger_us for the answer, so that it can be kept; after that
- * time it is closed. */
+/* Cancels an exchange; no owner's on_done is called meanwhile, so that an owner may
+ * cancel several exchanges one after the other. If the request was sent, the connection
+ * waits up to linger_us for the answer, so that it can be kept; after that time it is
+ * closed. */
 void
 jd_exchange_cancel (jd_exchange_t *exchange, int64_t linger_us)
 {
@@ -915,7 +929,8 @@
 
 /* Timer callback: closes connections that reached a timeout, tries unreachable targets
  * again and keeps a connection open to each replica that should have one, so that
- * requests do not wait for a connect. Frees retired links that are no longer used. */
+ * requests do not wait for a connect. Ends the exchanges that wait for a target that
+ * wants none. Frees retired links that are no longer used. */
 static void
 on_maintenance (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -938,6 +953,7 @@
           is_unchanged = maintain_connection (item->data, now_us);
           item = next;
         }
+      release_waiting_exchanges (link);
       if (link->retired && link->connections.length == 0 && link->waiting.length == 0)
         {
           free_link (link);
--- a/test/unit/test_replica_links.c
+++ b/test/unit/test_replica_links.c
@@ -27,7 +27,10 @@
 {
   uint32_t done_count;
   jd_replica_outcome_t outcome;
-  jd_exchange_t *cancelled[2]; /* NULL: none. */
+  bool is_cancelling; /* The owner cancels its exchanges. */
+  uint32_t done_while_cancelling;
+  jd_exchange_t *cancelled[2];    /* NULL: none. */
+  struct jd_links_owner *watched; /* Owner to which `done_while_cancelling` refers. */
 } jd_links_owner_t;
 
 static void
@@ -159,6 +162,7 @@
 static void
 cancel_exchanges (jd_links_owner_t *owner)
 {
+  owner->is_cancelling = true;
   for (size_t i = 0; i < G_N_ELEMENTS (owner->cancelled); i++)
     {
       jd_exchange_t *exchange = owner->cancelled[i];
@@ -166,6 +170,7 @@
       if (exchange)
         jd_exchange_cancel (exchange, 0);
     }
+  owner->is_cancelling = false;
 }
 
 static void
@@ -175,6 +180,8 @@
   jd_links_owner_t *owner = context;
   owner->done_count++;
   owner->outcome = result->outcome;
+  if (owner->watched && owner->watched->is_cancelling)
+    owner->watched->done_while_cancelling++;
   cancel_exchanges (owner);
 }
 
@@ -226,12 +233,39 @@
   close_fixture (&fixture);
 }
 
+/* Guards against the end of a request while its owner cancels its attempts: a cancelled
+ * attempt ended those of other requests that waited for the same target, and their owners
+ * cancelled attempts in turn, up to one of the first owner. */
+static void
+cancel_ends_no_other_exchange (void)
+{
+  jd_links_fixture_t fixture;
+  jd_links_owner_t owner = { 0 }, other = { .watched = &owner };
+  open_fixture (&fixture, 1);
+  target (&fixture, 0)->pool->max_connections = 1;
+  owner.cancelled[0] = send_request (&fixture, 0, 0, 60 * JD_US_PER_S, &owner);
+  int connection = accept_connection (&fixture, 0);
+  run_for (&fixture, 0.01);
+  send_request (&fixture, 0, 0, 60 * JD_US_PER_S, &other);
+  int64_t now_us = jd_monotonic_us ();
+  jd_target_notice_set_pause (target (&fixture, 0)->notice, 30 * JD_US_PER_S, 0.0,
+                              now_us);
+  cancel_exchanges (&owner);
+  CU_ASSERT_EQUAL (owner.done_while_cancelling, 0);
+  run_until_done (&fixture, &other);
+  CU_ASSERT_EQUAL (other.done_count, 1);
+  CU_ASSERT_EQUAL (other.outcome, JD_REPLICA_PAUSED);
+  close (connection);
+  close_fixture (&fixture);
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
     { "timer survives cancelled attempt at removed target",
       timer_survives_cancelled_attempt_at_removed_target },
+    { "cancel ends no other exchange", cancel_ends_no_other_exchange },
   };
   return JD_TEST_RUN ("replica_links", cases);
 }
