fix(transport): report a reset amid an answer as a failure

Cause: a reset makes the socket readable and writable. on_connection_io () sent first; the failed send () takes the error off the socket, and recv () then reports an orderly close, which completes an answer without a length. Ruled out: http_parser (it is told of a close that did not happen); the framing towards callers; http_call.c, whose requests are sent at once. Evidence: the new test resets the connection in the middle of an answer while 8 MB are unsent: outcome ok before, broken after. Change: a readable connection is read before anything is sent. A reset that a send reports all the same is remembered. EPIPE, a reset after an orderly close, leaves the answer whole.

--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -70,6 +70,7 @@
   int64_t idle_limit_us;    /* Idle timeout that the target stated; 0 if none. */
   uint32_t skipped_replies;
   bool close_after_answer;
+  bool was_reset; /* Reported by a failed send; a read reports an orderly close then. */
   jd_byte_holder_t held;
 } jd_connection_t;
 
@@ -413,9 +414,11 @@
         }
       if (sent < 0)
         {
-          /* The target may have answered before it closed; read that answer first. */
+          /* The target may have answered before it closed; read that answer first. EPIPE
+           * says that an orderly close arrived before the reset. */
           set_watched_events (connection, EV_READ);
           connection->close_after_answer = true;
+          connection->was_reset = errno != EPIPE;
           return;
         }
       connection->output_sent += (size_t)sent;
@@ -713,12 +716,13 @@
     }
 }
 
-/* Handles an orderly close by the target, which completes an answer without a stated
- * length. The connection is freed. */
+/* Handles the end of the input. An orderly close completes an answer without a stated
+ * length, a reset does not. The connection is freed. */
 static void
 handle_close (jd_connection_t *connection)
 {
   if (connection->state == CONNECTION_BUSY && connection->reader.started &&
+      !connection->was_reset &&
       jd_http_reader_on_close (&connection->reader) == JD_HTTP_COMPLETE &&
       !is_answer_to_other_request (connection))
     {
@@ -770,10 +774,12 @@
       handle_connect_result (connection);
       return;
     }
-  if (events & EV_WRITE)
-    flush_output (connection);
+  /* Read first: a send would take the error of a reset connection from the socket. */
   if (!(events & EV_READ))
-    return;
+    {
+      flush_output (connection);
+      return;
+    }
   char data[READ_BYTES];
   ssize_t size = recv (connection->fd, data, sizeof (data), 0);
   if (size < 0 && (errno == EAGAIN || errno == EINTR))
--- a/test/unit/test_replica_links.c
+++ b/test/unit/test_replica_links.c
@@ -1,6 +1,7 @@
 #include "transport/replica_links.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,6 +12,12 @@
 
 #define TARGETS_MAX 3
 #define WAIT_US (5 * JD_US_PER_S)
+/* Sizes that leave a part of a long request unsent while the target does not read, as on
+ * a network with small windows. */
+#define SEGMENT_BYTES 1448
+#define RECEIVE_BYTES 16384
+#define LONG_BODY_BYTES (8 * 1024 * 1024)
+#define OPEN_ENDED_HEAD "HTTP/1.1 200 OK\r\nS: s1\r\nConnection: close\r\n\r\n"
 
 /* A host's connections to targets whose side of each connection a test plays itself. */
 typedef struct jd_links_fixture
@@ -27,6 +34,7 @@
 {
   uint32_t done_count;
   jd_replica_outcome_t outcome;
+  char body[64];
   bool is_cancelling; /* The owner cancels its exchanges. */
   uint32_t done_while_cancelling;
   jd_exchange_t *cancelled[2];    /* NULL: none. */
@@ -55,7 +63,10 @@
   struct sockaddr_in address = { .sin_family = AF_INET,
                                  .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
   socklen_t size = sizeof (address);
+  int segment_bytes = SEGMENT_BYTES, receive_bytes = RECEIVE_BYTES;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof (receive_bytes));
+  setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes, sizeof (segment_bytes));
   CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&address, size), 0);
   CU_ASSERT_EQUAL_FATAL (listen (fd, 16), 0);
   getsockname (fd, (struct sockaddr *)&address, &size);
@@ -159,6 +170,15 @@
   return fd;
 }
 
+/* Closes a connection with a reset. */
+static void
+reset_connection (int fd)
+{
+  const struct linger linger = { .l_onoff = 1 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof (linger));
+  close (fd);
+}
+
 static void
 cancel_exchanges (jd_links_owner_t *owner)
 {
@@ -182,6 +202,8 @@
   owner->outcome = result->outcome;
   if (owner->watched && owner->watched->is_cancelling)
     owner->watched->done_while_cancelling++;
+  if (result->reply)
+    g_strlcpy (owner->body, result->reply->body->str, sizeof (owner->body));
   cancel_exchanges (owner);
 }
 
@@ -259,6 +281,51 @@
   close_fixture (&fixture);
 }
 
+/* Guards against a cut answer that is passed on as whole: a reset while a part of the
+ * request was unsent was taken for the end of an answer without a length (review/2). */
+static void
+reset_answer_to_unsent_request_is_broken (void)
+{
+  jd_links_fixture_t fixture;
+  jd_links_owner_t owner = { 0 };
+  open_fixture (&fixture, 1);
+  send_request (&fixture, 0, LONG_BODY_BYTES, 60 * JD_US_PER_S, &owner);
+  int connection = accept_connection (&fixture, 0);
+  run_for (&fixture, 0.05);
+  static const char text[] = OPEN_ENDED_HEAD "half of an ans";
+  CU_ASSERT_EQUAL (send (connection, text, strlen (text), 0), (ssize_t)strlen (text));
+  run_for (&fixture, 0.05);
+  CU_ASSERT_EQUAL (owner.done_count, 0);
+  reset_connection (connection);
+  run_until_done (&fixture, &owner);
+  CU_ASSERT_EQUAL (owner.done_count, 1);
+  CU_ASSERT_EQUAL (owner.outcome, JD_REPLICA_BROKEN);
+  close_fixture (&fixture);
+}
+
+/* Guards against the loss of a whole answer without a length whose target closes in an
+ * orderly way before it resets the connection, because a part of the request is unread.
+ */
+static void
+closed_answer_to_unsent_request_is_whole (void)
+{
+  jd_links_fixture_t fixture;
+  jd_links_owner_t owner = { 0 };
+  open_fixture (&fixture, 1);
+  send_request (&fixture, 0, LONG_BODY_BYTES, 60 * JD_US_PER_S, &owner);
+  int connection = accept_connection (&fixture, 0);
+  run_for (&fixture, 0.05);
+  static const char text[] = OPEN_ENDED_HEAD "whole answer";
+  CU_ASSERT_EQUAL (send (connection, text, strlen (text), 0), (ssize_t)strlen (text));
+  shutdown (connection, SHUT_WR);
+  reset_connection (connection);
+  run_until_done (&fixture, &owner);
+  CU_ASSERT_EQUAL (owner.done_count, 1);
+  CU_ASSERT_EQUAL (owner.outcome, JD_REPLICA_OK);
+  CU_ASSERT_STRING_EQUAL (owner.body, "whole answer");
+  close_fixture (&fixture);
+}
+
 int
 main (void)
 {
@@ -266,6 +333,10 @@
     { "timer survives cancelled attempt at removed target",
       timer_survives_cancelled_attempt_at_removed_target },
     { "cancel ends no other exchange", cancel_ends_no_other_exchange },
+    { "reset answer to unsent request is broken",
+      reset_answer_to_unsent_request_is_broken },
+    { "closed answer to unsent request is whole",
+      closed_answer_to_unsent_request_is_whole },
   };
   return JD_TEST_RUN ("replica_links", cases);
 }
