fix(daemons): answer all requests of a stopping host

Cause: on_stop_timer () ended the event loop shortly before the end of the grace period, and jd_host_free () closed the connections. Nothing decided whether a request still had time to run. Ruled out: requests that cross the close of an idle connection, which are not read; the listener, which closes 2.5 s after SIGTERM. Evidence: test_host_stop with the host of: requests cut, none rejected, and an edit that arrived 5 s after SIGTERM ran and was cut. Change: routing/stop_plan decides by the time that is left. New end "stopped" in logs and metrics.

--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -35,10 +35,8 @@
 /* Upper estimate of the memory for a request with its attempts. */
 #define REQUEST_MEMORY_KB 128
 /* A stopping host listens until the load balancer has removed it, which takes two failed
- * checks at intervals of 1 s. Then it closes idle connections. It exits STOP_MARGIN_US
- * before the end of the grace period, when the process would be killed. */
+ * checks at intervals of 1 s. Then it closes idle connections. */
 #define STOP_LISTEN_US (2500 * JD_US_PER_MS)
-#define STOP_MARGIN_US (400 * JD_US_PER_MS)
 #define STOP_CHECK_INTERVAL_S 0.1
 
 /* Updates the number of hosts and the rank of this host, and all that depends on them. */
@@ -334,13 +332,16 @@
                 table->tenants->len);
 }
 
-/* Timer callback of a stopping host: closes the listener and idle connections, and ends
- * the event loop when no caller is left or the grace period is almost over. */
+/* Timer callback of a stopping host: answers the requests that cannot go on, closes the
+ * listener and idle connections, and ends the event loop when no caller is left or the
+ * grace period is almost over. */
 static void
 on_stop_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
   jd_host_t *host = timer->data;
-  int64_t elapsed_us = jd_monotonic_us () - host->stop_started_us;
+  int64_t now_us = jd_monotonic_us ();
+  int64_t elapsed_us = now_us - host->stop_started_us;
+  jd_host_end_requests (host, now_us);
   if (elapsed_us >= STOP_LISTEN_US)
     {
       jd_caller_server_close_listener (host->caller_server);
@@ -348,7 +349,7 @@
     }
   bool idle = elapsed_us >= STOP_LISTEN_US &&
               jd_caller_server_connection_count (host->caller_server) == 0;
-  if (!idle && elapsed_us < host->stop_grace_us - STOP_MARGIN_US)
+  if (!idle && now_us < host->stop_plan.exit_by_us)
     return;
   jd_log_event (G_LOG_LEVEL_INFO, "host_stopped",
                 "running=%u connections=%u ms=%" G_GINT64_FORMAT, host->requests.length,
@@ -357,9 +358,10 @@
   ev_break (loop, EVBREAK_ALL);
 }
 
-/* Starts a graceful stop. The host is no longer ready, serves the requests that still
- * arrive, and ends the event loop when all caller connections are closed, or shortly
- * before the grace period ends. */
+/* Starts a graceful stop. The host is no longer ready, and serves the requests that still
+ * arrive while there is time to answer them. It answers all others before the grace
+ * period ends, and then ends the event loop, or when all caller connections are closed.
+ */
 void
 jd_host_stop (jd_host_t *host)
 {
@@ -367,6 +369,7 @@
     return;
   host->stopping = true;
   host->stop_started_us = jd_monotonic_us ();
+  host->stop_plan = jd_stop_plan_new (host->stop_started_us, host->stop_grace_us);
   jd_log_event (G_LOG_LEVEL_INFO, "host_stopping", "running=%u connections=%u",
                 host->requests.length,
                 jd_caller_server_connection_count (host->caller_server));
--- a/src/daemons/host_defs.h
+++ b/src/daemons/host_defs.h
@@ -6,6 +6,7 @@
 #include "limits/byte_budget.h"
 #include "limits/fleet_quota.h"
 #include "routing/fanout.h"
+#include "routing/stop_plan.h"
 #include "transport/caller_server.h"
 #include "daemons/record_source.h"
 #include "transport/peer_gossip.h"
@@ -19,6 +20,7 @@
   JD_HOST_END_NOT_RUN,
   JD_HOST_END_FAILED,
   JD_HOST_END_TIMED_OUT,
+  JD_HOST_END_STOPPED, /* The host stopped while a target may have run the request. */
   JD_HOST_END_CALLER_LEFT,
   JD_HOST_END_RATE_LIMITED,
   JD_HOST_END_REJECTED, /* Bad request, unknown route or key. */
@@ -103,6 +105,7 @@
   int64_t unreachable_since_us; /* 0 while enough targets are reachable. */
   bool stopping;
   int64_t stop_started_us;
+  jd_stop_plan_t stop_plan; /* Set while stopping. */
   ev_timer stop_timer;
   ev_timer maintenance_timer;
 
@@ -120,6 +123,7 @@
 void jd_host_on_request (void *context, jd_caller_t *caller,
                          const jd_http_reader_t *reader);
 void jd_host_on_disconnect (void *context, jd_caller_t *caller);
+void jd_host_end_requests (jd_host_t *host, int64_t now_us);
 void jd_host_answer_peer (void *context, jd_caller_t *caller,
                           const jd_http_reader_t *reader);
 void jd_host_answer_readiness (void *context, jd_caller_t *caller,
--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -35,6 +35,7 @@
     [JD_HOST_END_NOT_RUN] = "not_run",
     [JD_HOST_END_FAILED] = "failed",
     [JD_HOST_END_TIMED_OUT] = "timed_out",
+    [JD_HOST_END_STOPPED] = "stopped",
     [JD_HOST_END_CALLER_LEFT] = "caller_left",
     [JD_HOST_END_RATE_LIMITED] = "rate_limited",
     [JD_HOST_END_REJECTED] = "rejected",
@@ -279,6 +280,7 @@
       return;
     case JD_FANOUT_FAILED:
     case JD_FANOUT_TIMED_OUT:
+    case JD_FANOUT_STOPPED:
       if (has_reply)
         {
           record_end (request, JD_HOST_END_TARGET_FAILURE, request->reply_status);
@@ -292,7 +294,10 @@
           jd_caller_answer_status (request->caller, 502, 0);
           return;
         }
-      record_end (request, JD_HOST_END_TIMED_OUT, 504);
+      record_end (request,
+                  verdict == JD_FANOUT_STOPPED ? JD_HOST_END_STOPPED
+                                               : JD_HOST_END_TIMED_OUT,
+                  504);
       jd_caller_answer_status (request->caller, 504, 0);
       return;
     case JD_FANOUT_NOT_RUN:
@@ -533,6 +538,19 @@
   return jd_route_table_tenant (host->routes, g_strchomp (trimmed));
 }
 
+/* Returns the time that a request may take: that of the caller, but at most that of the
+ * route. */
+static int64_t
+time_limit_us (const jd_host_t *host, const jd_http_reader_t *reader,
+               const jd_route_t *route)
+{
+  int64_t limit_ms = 0;
+  int64_t limit_us = DEFAULT_DEADLINE_US;
+  if (jd_http_reader_number (reader, host->platform.fields.deadline_ms, &limit_ms))
+    limit_us = MIN (limit_ms, G_MAXINT32) * JD_US_PER_MS;
+  return route->timeout_us > 0 ? MIN (limit_us, route->timeout_us) : limit_us;
+}
+
 /* Caller server callback: admits and starts a request, or rejects it. */
 void
 jd_host_on_request (void *context, jd_caller_t *caller, const jd_http_reader_t *reader)
@@ -579,6 +597,17 @@
                   .status = 401, .end = JD_HOST_END_REJECTED, .cause = "unknown_key" });
       return;
     }
+  int64_t deadline_us = now_us + time_limit_us (host, reader, route);
+  if (host->stopping &&
+      !jd_stop_plan_may_send (&host->stop_plan, route, deadline_us, now_us))
+    {
+      reject (host, caller, reader,
+              &(jd_rejection_t){ .status = 503,
+                                 .end = JD_HOST_END_NOT_RUN,
+                                 .cause = "stopping",
+                                 .retry_after_us = RETRY_AFTER_MIN_US });
+      return;
+    }
   if (host->requests.length >= host->max_requests)
     {
       reject (host, caller, reader,
@@ -606,14 +635,8 @@
     }
   if (tenant)
     jd_peer_gossip_schedule_admissions (host->gossip);
-  int64_t time_limit_ms = 0;
-  int64_t time_limit_us = DEFAULT_DEADLINE_US;
-  if (jd_http_reader_number (reader, fields->deadline_ms, &time_limit_ms))
-    time_limit_us = MIN (time_limit_ms, G_MAXINT32) * JD_US_PER_MS;
-  if (route->timeout_us > 0)
-    time_limit_us = MIN (time_limit_us, route->timeout_us);
-  start_request (host, caller, reader, route, tenant ? tenant->name : NULL,
-                 now_us + time_limit_us, now_us);
+  start_request (host, caller, reader, route, tenant ? tenant->name : NULL, deadline_us,
+                 now_us);
 }
 
 /* Caller server callback: the caller disconnected, so its attempts are cancelled. */
@@ -628,3 +651,35 @@
   record_end (request, JD_HOST_END_CALLER_LEFT, 0);
   request_free (request);
 }
+
+/* Returns TRUE if a running attempt of the request was sent to its target. */
+static bool
+has_sent_attempt (const jd_request_t *request)
+{
+  uint32_t count = request->fanout->part_count * JD_FANOUT_ATTEMPTS_MAX;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (request->exchanges[i] && jd_exchange_was_sent (request->exchanges[i]))
+        return true;
+    }
+  return false;
+}
+
+/* Answers the requests of a stopping host that are due by its plan. */
+void
+jd_host_end_requests (jd_host_t *host, int64_t now_us)
+{
+  GList *next = NULL;
+  for (GList *item = host->requests.head; item; item = next)
+    {
+      next = item->next;
+      jd_request_t *request = item->data;
+      bool is_sent = has_sent_attempt (request);
+      bool was_sent = is_sent || request->fanout->any_may_have_run;
+      if (!jd_stop_plan_ends_request (&host->stop_plan, request->route,
+                                      request->fanout->deadline_us, was_sent, now_us))
+        continue;
+      jd_fanout_stop (request->fanout, is_sent);
+      request_free (request);
+    }
+}
--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -372,3 +372,15 @@
     }
   return wake_us;
 }
+
+/* Ends the request now, because the host stops. is_sent is TRUE if a running attempt was
+ * sent to its target. Parts that make an answer are used. */
+void
+jd_fanout_stop (jd_fanout_t *fanout, bool is_sent)
+{
+  if (fanout->done_count >= fanout->needed_parts)
+    finish (fanout, JD_FANOUT_PARTIAL);
+  else
+    finish (fanout,
+            is_sent || fanout->any_may_have_run ? JD_FANOUT_STOPPED : JD_FANOUT_NOT_RUN);
+}
--- a/src/routing/fanout.h
+++ b/src/routing/fanout.h
@@ -14,6 +14,7 @@
   JD_FANOUT_FAILED,    /* Too few parts can still be answered; an attempt may have run. */
   JD_FANOUT_NOT_RUN,   /* Too few parts can still be answered, and no attempt ran. */
   JD_FANOUT_TIMED_OUT, /* The deadline of the request has passed. */
+  JD_FANOUT_STOPPED,   /* The host stops; an attempt may have run. */
 } jd_fanout_verdict_t;
 
 /* Callbacks that carry out the decisions of a fanout. */
@@ -88,3 +89,4 @@
                             jd_replica_outcome_t outcome, bool may_have_run,
                             int64_t now_us);
 int64_t jd_fanout_tick (jd_fanout_t *fanout, int64_t now_us);
+void jd_fanout_stop (jd_fanout_t *fanout, bool is_sent);
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -856,6 +856,14 @@
   exchange->linger_until_us = jd_monotonic_us () + linger_us;
 }
 
+/* Returns TRUE if the request was sent to the target, or a part of it; FALSE while it
+ * waits for a connection. */
+bool
+jd_exchange_was_sent (const jd_exchange_t *exchange)
+{
+  return exchange->connection != NULL;
+}
+
 /* Closes the idle connections that received no bytes since since_us, at which an exchange
  * without an answer was sent. A device on the path may have dropped its state of these
  * connections too. */
--- a/src/transport/replica_links.h
+++ b/src/transport/replica_links.h
@@ -75,6 +75,7 @@
                                       int64_t typical_latency_us,
                                       const jd_exchange_owner_t *owner);
 void jd_exchange_cancel (jd_exchange_t *exchange, int64_t linger_us);
+bool jd_exchange_was_sent (const jd_exchange_t *exchange);
 uint32_t jd_replica_links_open_count (const jd_replica_links_t *links);
 uint64_t jd_replica_links_opened_total (const jd_replica_links_t *links);
 uint64_t jd_replica_links_refused_total (const jd_replica_links_t *links);
--- a/test/support/host_lab.c
+++ b/test/support/host_lab.c
@@ -17,6 +17,7 @@
 
 #define CALL_TIMEOUT_S 5.0
 #define DEFAULT_MEMORY_MB 256U
+#define DEFAULT_ROUTE_TIMEOUT_MS 2000
 #define STOP_TIMEOUT_MS 9000
 /* Calls do not reuse a connection that was idle for longer. Four fifths of the host's
  * idle timeout (idleTimeoutMs), so that the host does not close a connection during its
@@ -305,19 +306,21 @@
 }
 
 static json_t *
-new_route (const char *prefix, const char *kind)
+new_route (const jd_host_fixture_t *fixture, const char *prefix, const char *kind)
 {
+  int32_t timeout_ms = fixture->route_timeout_ms > 0 ? fixture->route_timeout_ms
+                                                     : DEFAULT_ROUTE_TIMEOUT_MS;
   return json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:b}", "name", prefix,
                     "host", "shop.example", "prefix", prefix, "routeKind", kind,
-                    "timeoutMs", 2000, "targetLatencyMs", 200, "maxAttempts", 2,
+                    "timeoutMs", timeout_ms, "targetLatencyMs", 200, "maxAttempts", 2,
                     "priority", 1, "public", 0);
 }
 
 /* Returns a route to the service studio. */
 static json_t *
-new_studio_route (const char *prefix, const char *kind)
+new_studio_route (const jd_host_fixture_t *fixture, const char *prefix, const char *kind)
 {
-  json_t *route = new_route (prefix, kind);
+  json_t *route = new_route (fixture, prefix, kind);
   json_object_set_new (route, "service", json_string ("studio"));
   return route;
 }
@@ -341,18 +344,19 @@
 static json_t *
 new_routes (const jd_host_fixture_t *fixture, json_t *shards)
 {
-  json_t *search = new_route ("/search/", "safe");
+  json_t *search = new_route (fixture, "/search/", "safe");
   json_object_set_new (search, "gather", shards);
   json_object_set_new (search, "topK", json_integer (4));
   json_object_set_new (search, "minCoverage", json_real (0.75));
-  json_t *routes = json_pack ("[o,o,o]", search, new_studio_route ("/fetch/", "safe"),
-                              new_studio_route ("/edit/", "unsafe"));
+  json_t *routes =
+      json_pack ("[o,o,o]", search, new_studio_route (fixture, "/fetch/", "safe"),
+                 new_studio_route (fixture, "/edit/", "unsafe"));
   for (int64_t i = 0; fixture->versioned_routes && i <= JD_HOST_FIXTURE_OLDER_ROUTES; i++)
     {
       char prefix[32];
       g_snprintf (prefix, sizeof (prefix), "/v%" G_GINT64_FORMAT "/",
                   fixture->version - i);
-      json_array_append_new (routes, new_studio_route (prefix, "safe"));
+      json_array_append_new (routes, new_studio_route (fixture, prefix, "safe"));
     }
   return routes;
 }
--- a/test/support/host_lab.h
+++ b/test/support/host_lab.h
@@ -72,11 +72,12 @@
   double cold_rate_per_s;   /* Rate limit of a cold target; 0: none. */
   bool versioned_routes; /* Adds routes /vN/ to studio, see JD_HOST_FIXTURE_OLDER_ROUTES.
                           */
-  bool reuses_connections; /* Calls reuse idle connections. */
-  bool first_start;        /* Value of first-start in the settings of started hosts. */
-  uint32_t memory_mb;      /* Memory limit of started hosts; 0: the default. */
-  bool uses_relays;        /* Hosts connect to targets through relays. */
-  char *directory;         /* Temporary directory of the settings files. */
+  bool reuses_connections;  /* Calls reuse idle connections. */
+  bool first_start;         /* Value of first-start in the settings of started hosts. */
+  uint32_t memory_mb;       /* Memory limit of started hosts; 0: the default. */
+  int32_t route_timeout_ms; /* Time limit of all routes; 0: 2 s. */
+  bool uses_relays;         /* Hosts connect to targets through relays. */
+  char *directory;          /* Temporary directory of the settings files. */
   jd_host_fixture_host_t hosts[JD_HOST_FIXTURE_HOSTS_MAX];
   jd_host_fixture_target_t targets[JD_HOST_FIXTURE_TARGETS_MAX];
 } jd_host_fixture_t;
