fix(membership): keep each removal for hosts that copy records

Cause: trim_tombstones () dropped all tombstones when the 4,097th was added, that one included, and set tombstones_since to the last complete revision, which is before it. A host that was complete up to there copied only the changes after it and advanced past the removal. Ruled out: the reader of the store (it applies the removal); the copy's format; full copies, which retain what they list. Change: the older half is dropped, and tombstones_since becomes the newest dropped revision. The removal of a record that a host never had is kept too: a third host that copies from it may have the record.

--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -1,7 +1,7 @@
 #include "membership/record_feed.h"
 
-/* If there are more tombstones of removed records, all of them are dropped, and a host
- * whose records are older than that copies all records. */
+/* If there are more tombstones of removed records, the older half is dropped, and a host
+ * whose records are older than those copies all records. */
 #define MAX_TOMBSTONES 4096
 
 struct jd_record_feed
@@ -101,42 +101,79 @@
   return true;
 }
 
-/* Drops the tombstones of all removed records if there are too many. */
+/* Sort callback: orders revisions. */
+static gint
+compare_revisions (gconstpointer a, gconstpointer b)
+{
+  int64_t left = *(const int64_t *)a, right = *(const int64_t *)b;
+  return (left > right) - (left < right);
+}
+
+/* Returns the revision of the newest tombstone in the older half. */
+static int64_t
+median_tombstone_revision (const jd_record_feed_t *feed)
+{
+  GArray *revisions =
+      g_array_sized_new (FALSE, FALSE, sizeof (int64_t), feed->tombstone_count);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, feed->by_key);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const jd_feed_item_t *item = value;
+      if (!item->value)
+        g_array_append_val (revisions, item->revision);
+    }
+  g_array_sort (revisions, compare_revisions);
+  int64_t median = g_array_index (revisions, int64_t, revisions->len / 2);
+  g_array_free (revisions, TRUE);
+  return median;
+}
+
+/* Drops the older half of the tombstones if there are too many. The removals since the
+ * last complete revision are among them, so it is the revision of the dropped tombstones
+ * that tells whose copies must be full. */
 static void
 trim_tombstones (jd_record_feed_t *feed)
 {
   if (feed->tombstone_count <= MAX_TOMBSTONES)
     return;
+  int64_t dropped_revision = median_tombstone_revision (feed);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, feed->by_key);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (!((jd_feed_item_t *)value)->value)
-        g_hash_table_iter_remove (&iter);
+      const jd_feed_item_t *item = value;
+      if (item->value || item->revision > dropped_revision)
+        continue;
+      g_hash_table_iter_remove (&iter);
+      feed->tombstone_count--;
     }
-  feed->tombstone_count = 0;
-  feed->tombstones_since = feed->revision;
+  feed->tombstones_since = MAX (feed->tombstones_since, dropped_revision);
 }
 
 /* Applies the removal of a record at a revision. Other hosts can copy it at once; on this
- * host it takes effect when removals are no longer held. */
+ * host it takes effect when removals are no longer held. The removal of an unknown record
+ * is kept for other hosts, which may have the record. */
 void
 jd_record_feed_remove (jd_record_feed_t *feed, const char *key, int64_t revision)
 {
-  jd_feed_item_t *item = g_hash_table_lookup (feed->by_key, key);
-  if (!item || !item->value || revision <= item->revision)
+  jd_feed_item_t *item = find_item (feed, key);
+  if (revision <= item->revision)
     return;
+  bool is_known_removal = !item->value && item->revision >= 0;
   GBytes *value = item->value;
   item->value = NULL;
   item->revision = revision;
   feed->changed_revision = MAX (feed->changed_revision, revision);
-  feed->tombstone_count++;
-  if (feed->hold_until_us > 0)
+  if (!is_known_removal)
+    feed->tombstone_count++;
+  if (value && feed->hold_until_us > 0)
     {
       g_hash_table_insert (feed->held, g_strdup (key), value);
     }
-  else
+  else if (value)
     {
       feed->events.on_change (feed->events.context, item->key, NULL);
       g_bytes_unref (value);
--- a/test/unit/test_record_feed.c
+++ b/test/unit/test_record_feed.c
@@ -95,6 +95,14 @@
     jd_record_feed_remove (context, item->key, item->revision);
 }
 
+/* Adds the key of a record that is not removed to a set. */
+static void
+collect_key (void *context, const jd_feed_item_t *item)
+{
+  if (item->value)
+    g_hash_table_add (context, g_strdup (item->key));
+}
+
 static void
 copy_changes (const jd_record_feed_t *from, jd_record_feed_t *to, int64_t as_of_us)
 {
@@ -172,6 +180,88 @@
   jd_record_feed_free (copying);
 }
 
+/* Applies a copy that one feed answers another: its changes, or all of its records. */
+static void
+follow (const jd_record_feed_t *from, jd_record_feed_t *to)
+{
+  int64_t after = jd_record_feed_revision (to);
+  bool is_full = !jd_record_feed_has_changes_since (from, after);
+  jd_record_feed_each_after (from, is_full ? -1 : after, copy_item, to);
+  if (is_full)
+    {
+      GHashTable *keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      jd_record_feed_each_after (from, -1, collect_key, keys);
+      jd_record_feed_retain (to, keys, jd_record_feed_revision (from));
+      g_hash_table_destroy (keys);
+    }
+  jd_record_feed_advance (to, jd_record_feed_revision (from), 1);
+}
+
+/* Guards against copies that miss a removal because its tombstone is dropped at that
+ * moment (review/5): whatever the number of removals, a host that follows another one
+ * loses the same records. */
+static void
+copies_miss_no_removal (void)
+{
+  static const int64_t counts[] = { 1, 4095, 4096, 4097, 4098, 9000 };
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      event_counts_t reader_events = { 0 }, copy_events = { 0 };
+      jd_record_feed_t *reader = new_feed (&reader_events);
+      jd_record_feed_t *copy = new_feed (&copy_events);
+      put_record (reader, "target", "a", 1);
+      jd_record_feed_advance (reader, 1, 1);
+      follow (reader, copy);
+      int64_t revision = 1;
+      for (int64_t k = 1; k < counts[i]; k++)
+        {
+          put_record (reader, "other", "b", ++revision);
+          jd_record_feed_remove (reader, "other", ++revision);
+          char *key = g_strdup_printf ("other-%" G_GINT64_FORMAT, k);
+          put_record (reader, key, "b", ++revision);
+          jd_record_feed_remove (reader, key, ++revision);
+          g_free (key);
+          jd_record_feed_advance (reader, revision, 1);
+          if (k % 64 == 0 || k + 1 == counts[i])
+            follow (reader, copy);
+        }
+      jd_record_feed_remove (reader, "target", ++revision);
+      jd_record_feed_advance (reader, revision, 1);
+      follow (reader, copy);
+      CU_ASSERT_EQUAL (copy_events.changes, copy_events.removals);
+      CU_ASSERT_EQUAL (jd_record_feed_revision (copy), revision);
+      jd_record_feed_free (copy);
+      jd_record_feed_free (reader);
+    }
+}
+
+/* Guards against a removal that is lost on the way over a second host: one that never had
+ * the record passes its removal on to a host that has it. */
+static void
+removals_of_unknown_records_are_passed_on (void)
+{
+  event_counts_t counts = { 0 };
+  jd_record_feed_t *reader = new_feed (&counts);
+  jd_record_feed_t *late = new_feed (&counts);
+  event_counts_t early_events = { 0 };
+  jd_record_feed_t *early = new_feed (&early_events);
+  put_record (reader, "kept", "a", 1);
+  jd_record_feed_advance (reader, 1, 1);
+  follow (reader, early);
+  follow (reader, late);
+  put_record (reader, "target", "a", 2);
+  jd_record_feed_advance (reader, 2, 1);
+  follow (reader, early);
+  jd_record_feed_remove (reader, "target", 3);
+  jd_record_feed_advance (reader, 3, 1);
+  follow (reader, late);
+  follow (late, early);
+  CU_ASSERT_EQUAL (early_events.removals, 1);
+  jd_record_feed_free (early);
+  jd_record_feed_free (late);
+  jd_record_feed_free (reader);
+}
+
 int
 main (void)
 {
@@ -182,6 +272,9 @@
     { "held removals wait for records to return",
       held_removals_wait_for_records_to_return },
     { "copying hosts get returned records", copying_hosts_get_returned_records },
+    { "copies miss no removal", copies_miss_no_removal },
+    { "removals of unknown records are passed on",
+      removals_of_unknown_records_are_passed_on },
   };
   return JD_TEST_RUN ("record_feed", cases);
 }
