fix(limits): cut requests that may have run last

Cause: the holder with the most bytes was cut, mostly the oldest running edit, because its body is held until its answer; nothing rejected an upload before it was passed on. Ruled out: the memory limit (peak 48 to 50 MB of 260); the targets, which had room for all requests. Change: holders of requests that may run once only are protected and cut last. A large request does not start while protected holders take three quarters of the budget: 503, not run. An unfinished upload that gives way is answered 503 with Retry-After instead of being closed.

--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -483,6 +483,7 @@
   request->arrived_us = now_us;
   request->outgoing = jd_request_build_outgoing (host, reader, host->routes, tenant);
   request->outgoing->deadline_us = deadline_us;
+  request->outgoing->runs_once = !route->idempotent;
   const jd_route_part_t *parts = is_scattered
                                      ? (jd_route_part_t *)(void *)route->parts->data
                                      : choose_weighted (route);
@@ -617,6 +618,16 @@
                                  .retry_after_us = RETRY_AFTER_MIN_US });
       return;
     }
+  if (!jd_byte_budget_admits (&host->byte_budget, jd_http_reader_held_bytes (reader),
+                              host->max_requests))
+    {
+      reject (host, caller, reader,
+              &(jd_rejection_t){ .status = 503,
+                                 .end = JD_HOST_END_OVERLOADED,
+                                 .cause = "too_many_bytes",
+                                 .retry_after_us = RETRY_AFTER_MIN_US });
+      return;
+    }
   /* This check precedes the tenant's rate limit, because a rejected request must not
    * count towards it. */
   double rejected_share =
--- a/src/limits/byte_budget.c
+++ b/src/limits/byte_budget.c
@@ -1,5 +1,9 @@
 #include "limits/byte_budget.h"
 
+/* Share of the limit, in percent, that protected holders may take before a large request
+ * starts. The rest is for answers and for requests that are being received. */
+#define ADMISSION_PERCENT 75
+
 /* Initializes a budget without holders. */
 void
 jd_byte_budget_init (jd_byte_budget_t *budget, uint64_t limit_bytes)
@@ -16,6 +20,8 @@
   if (!budget || bytes == holder->bytes)
     return;
   budget->held_bytes += bytes - holder->bytes;
+  if (holder->is_protected)
+    budget->protected_bytes += bytes - holder->bytes;
   if (holder->bytes == 0)
     {
       holder->node.data = holder;
@@ -26,20 +32,53 @@
   holder->bytes = bytes;
 }
 
-/* Returns the holder to cut while the limit is exceeded, otherwise NULL: the one that
- * holds the most. Useful answers are small, and one that grows without end is the first
- * to exceed them all. */
+/* Sets whether a holder is protected. A NULL budget has no limit. */
+void
+jd_byte_budget_protect (jd_byte_budget_t *budget, jd_byte_holder_t *holder,
+                        bool is_protected)
+{
+  if (!budget || is_protected == holder->is_protected)
+    return;
+  holder->is_protected = is_protected;
+  budget->protected_bytes += is_protected ? holder->bytes : -holder->bytes;
+}
+
+/* Returns TRUE if the holder is to be cut before the other one, which may be NULL. */
+static bool
+gives_way_before (const jd_byte_holder_t *holder, const jd_byte_holder_t *other)
+{
+  if (!other || holder->is_protected != other->is_protected)
+    return !other || other->is_protected;
+  return holder->bytes > other->bytes;
+}
+
+/* Returns the holder to cut while the limit is exceeded, otherwise NULL: of those that
+ * are not protected, the one that holds the most. Useful answers are small, and one that
+ * grows without end is the first to exceed them all. */
 jd_byte_holder_t *
 jd_byte_budget_excess (const jd_byte_budget_t *budget)
 {
-  jd_byte_holder_t *largest = NULL;
+  jd_byte_holder_t *first = NULL;
   if (budget->held_bytes <= budget->limit_bytes)
     return NULL;
   for (GList *item = budget->holders.head; item; item = item->next)
     {
       jd_byte_holder_t *holder = item->data;
-      if (!largest || holder->bytes > largest->bytes)
-        largest = holder;
+      if (gives_way_before (holder, first))
+        first = holder;
     }
-  return largest;
+  return first;
+}
+
+/* Returns TRUE if a request that holds some bytes, not protected yet, may start. While
+ * those that run take most of the budget, only small ones may, of which max_requests fit.
+ */
+bool
+jd_byte_budget_admits (const jd_byte_budget_t *budget, uint64_t bytes,
+                       uint32_t max_requests)
+{
+  return budget->protected_bytes == 0 ||
+         budget->protected_bytes + bytes <=
+             budget->limit_bytes / 100 * ADMISSION_PERCENT ||
+         bytes <= budget->limit_bytes / MAX (max_requests, 1);
 }
--- a/src/transport/caller_server.c
+++ b/src/transport/caller_server.c
@@ -27,6 +27,9 @@
 /* A request that starts within this time after its connection was accepted is the reason
  * why the connection was opened. */
 #define OPENED_FOR_REQUEST_US (10 * JD_US_PER_MS)
+/* Sent if uploads need too much memory. The requests that run then end within about one
+ * latency objective of the stated sites. */
+#define UPLOAD_RETRY_FIELD "Retry-After: 0.1\r\n"
 #define DEFAULT_HEAD_BYTES (64 * 1024)
 #define DEFAULT_BODY_BYTES (1024 * 1024)
 #define DEFAULT_HEAD_TIMEOUT_US (10 * JD_US_PER_S)
@@ -104,25 +107,21 @@
   g_free (caller);
 }
 
-/* Budget callback: closes a connection whose caller does not read its answers, or sends
- * more than it may have pending. */
+/* Initializes the reader of a connection with the present limits. */
 static void
-cut_caller (void *context)
+init_reader (jd_caller_t *caller)
 {
-  jd_caller_t *caller = context;
-  const jd_byte_budget_t *budget = caller->server->budget;
-  jd_log_event (G_LOG_LEVEL_WARNING, "caller_cut",
-                "bytes=%" G_GUINT64_FORMAT " unsent=%zu held=%" G_GUINT64_FORMAT
-                " limit=%" G_GUINT64_FORMAT,
-                caller->held.bytes, caller->output->len - caller->output_sent,
-                budget->held_bytes, budget->limit_bytes);
-  caller_close (caller);
+  const jd_caller_limits_t *limits = &caller->server->limits;
+  jd_http_reader_init (&caller->reader, HTTP_REQUEST, limits->head_bytes,
+                       limits->body_bytes);
 }
 
 /* Updates the bytes that a connection holds in the budget. */
 static void
 update_held_bytes (jd_caller_t *caller)
 {
+  /* A target may have run a request that was passed to the handler. */
+  jd_byte_budget_protect (caller->server->budget, &caller->held, caller->busy);
   jd_byte_budget_set (caller->server->budget, &caller->held,
                       jd_http_reader_held_bytes (&caller->reader) +
                           caller->pipelined->allocated_len +
@@ -189,10 +188,11 @@
   return true;
 }
 
-/* Queues an error status for a request that cannot be read, and marks the connection for
- * closing. */
+/* Queues an error status with header fields ("Name: value\r\n" lines) for a request that
+ * is not read to its end, and marks the connection for closing. */
 static void
-refuse_request (jd_caller_t *caller, uint32_t status, const char *reason)
+refuse_request (jd_caller_t *caller, uint32_t status, const char *fields,
+                const char *reason)
 {
   jd_log_event (G_LOG_LEVEL_INFO, "request_unreadable", "status=%u reason=%s", status,
                 reason);
@@ -200,8 +200,9 @@
   caller->busy = false;
   caller->phase_started_us = jd_monotonic_us ();
   g_string_append_printf (
-      caller->output, "HTTP/1.1 %u %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-      status, jd_http_reason (status));
+      caller->output,
+      "HTTP/1.1 %u %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status,
+      jd_http_reason (status), fields);
 }
 
 /* Queues 100 Continue, once per request, if the caller waits for it before it sends the
@@ -258,13 +259,13 @@
         send_continue (caller);
       return;
     case JD_HTTP_HEAD_TOO_LARGE:
-      refuse_request (caller, 431, "head_too_large");
+      refuse_request (caller, 431, "", "head_too_large");
       return;
     case JD_HTTP_BODY_TOO_LARGE:
-      refuse_request (caller, 413, "body_too_large");
+      refuse_request (caller, 413, "", "body_too_large");
       return;
     case JD_HTTP_MALFORMED:
-      refuse_request (caller, 400,
+      refuse_request (caller, 400, "",
                       http_errno_name (HTTP_PARSER_ERRNO (&caller->reader.parser)));
       return;
     case JD_HTTP_COMPLETE:
@@ -304,6 +305,29 @@
   update_watched_events (caller);
 }
 
+/* Budget callback: rejects a request that is being received, and closes a connection
+ * whose caller does not read its answers or sends more than it may have pending. */
+static void
+cut_caller (void *context)
+{
+  jd_caller_t *caller = context;
+  const jd_byte_budget_t *budget = caller->server->budget;
+  jd_log_event (G_LOG_LEVEL_WARNING, "caller_cut",
+                "bytes=%" G_GUINT64_FORMAT " unsent=%zu held=%" G_GUINT64_FORMAT
+                " limit=%" G_GUINT64_FORMAT,
+                caller->held.bytes, caller->output->len - caller->output_sent,
+                budget->held_bytes, budget->limit_bytes);
+  if (caller->busy || caller->closing || !caller->reader.started)
+    {
+      caller_close (caller);
+      return;
+    }
+  refuse_request (caller, 503, UPLOAD_RETRY_FIELD, "too_many_bytes");
+  jd_http_reader_clear (&caller->reader);
+  init_reader (caller);
+  process_pending (caller);
+}
+
 /* Event loop callback: reads input and sends output. */
 static void
 on_caller_io (struct ev_loop *loop, ev_io *io, int events)
@@ -424,8 +448,7 @@
   caller->accepted_us = caller->phase_started_us;
   caller->link.data = caller;
   caller->held = (jd_byte_holder_t){ .cut = cut_caller, .context = caller };
-  jd_http_reader_init (&caller->reader, HTTP_REQUEST, server->limits.head_bytes,
-                       server->limits.body_bytes);
+  init_reader (caller);
   ev_io_init (&caller->io, on_caller_io, fd, EV_READ);
   caller->io.data = caller;
   ev_io_start (server->loop, &caller->io);
@@ -483,7 +506,7 @@
           server->limits.head_timeout_us +
               (caller->reader.head_complete ? server->limits.idle_timeout_us : 0))
         {
-          refuse_request (caller, 408, "request_timeout");
+          refuse_request (caller, 408, "", "request_timeout");
           caller->phase_started_us = now_us;
           process_pending (caller);
         }
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -201,7 +201,11 @@
 static void
 update_held_bytes (jd_connection_t *connection)
 {
-  jd_byte_budget_set (connection->link->links->options.budget, &connection->held,
+  jd_byte_budget_t *budget = connection->link->links->options.budget;
+  jd_byte_budget_protect (budget, &connection->held,
+                          connection->exchange &&
+                              connection->exchange->outgoing->runs_once);
+  jd_byte_budget_set (budget, &connection->held,
                       jd_http_reader_held_bytes (&connection->reader));
 }
 
--- a/src/transport/replica_links.h
+++ b/src/transport/replica_links.h
@@ -33,6 +33,7 @@
   GString *head; /* Request line and header fields; each line ends with \r\n. */
   GString *body;
   bool is_head_method;
+  bool runs_once;      /* Not idempotent: it may be sent to one target only. */
   int64_t deadline_us; /* Time at which the caller stops waiting. */
 } jd_outgoing_request_t;
 
--- /dev/null
+++ b/test/process/test_host_uploads.c
@@ -0,0 +1,88 @@
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "support/host_lab.h"
+#include "support/test_main.h"
+
+#define SHARDS 2U
+#define STUDIO (size_t) (2U * SHARDS) /* Index of the first target of service studio. */
+#define MEMORY_MB 64U
+#define UPLOADS 300U
+#define UPLOAD_BYTES 60000U
+
+typedef struct jd_upload_counts
+{
+  uint32_t running;
+  uint32_t served;
+  uint32_t rejected; /* With 503: not run. */
+  uint32_t cut;      /* Without an answer. */
+} jd_upload_counts_t;
+
+static void
+count_reply (void *context, const jd_host_fixture_reply_t *reply)
+{
+  jd_upload_counts_t *counts = context;
+  counts->running--;
+  counts->served += reply->status == 200;
+  counts->rejected += reply->status == 503;
+  counts->cut += reply->status == 0;
+  CU_ASSERT_TRUE (reply->status != 503 || reply->retry_after);
+}
+
+/* Starts an edit with a long body. */
+static void
+start_upload (jd_host_fixture_t *fixture, uint32_t number, jd_upload_counts_t *counts)
+{
+  char *body = g_strnfill (UPLOAD_BYTES, 'b');
+  char *text = g_strdup_printf (
+      "POST /edit/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: upload-%u\r\n"
+      "X-Deadline-Ms: 9000\r\n" JD_HOST_FIXTURE_KEY "Content-Length: %u\r\n\r\n%s",
+      number, UPLOAD_BYTES, body);
+  counts->running++;
+  jd_host_fixture_call_async (fixture, 0, text, 9.0, count_reply, counts);
+  g_free (text);
+  g_free (body);
+}
+
+/* Guards against edits whose callers lose their connection because the uploads of others
+ * fill the memory (review/3): each is answered, and a rejected one has not run. */
+static void
+running_edits_survive_many_uploads (void)
+{
+  static jd_host_fixture_t fixture = { .route_timeout_ms = 10000,
+                                       .memory_mb = MEMORY_MB };
+  jd_upload_counts_t counts = { 0 };
+  jd_host_fixture_open (&fixture, 1, SHARDS);
+  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, 0, 5.0));
+  jd_host_fixture_run (&fixture, 1.0);
+  jd_shard_faults_t faults = { .delay_us = 500 * JD_US_PER_MS };
+  for (size_t i = STUDIO; i < STUDIO + 2; i++)
+    jd_shard_target_set_faults (fixture.targets[i].target, &faults);
+  for (uint32_t i = 0; i < UPLOADS; i++)
+    start_upload (&fixture, i, &counts);
+  int64_t end_us = jd_monotonic_us () + 9 * JD_US_PER_S;
+  while (counts.running > 0 && jd_monotonic_us () < end_us)
+    jd_host_fixture_run (&fixture, 0.05);
+  printf ("served %u, rejected %u, cut %u ", counts.served, counts.rejected, counts.cut);
+  CU_ASSERT_EQUAL (counts.running, 0);
+  CU_ASSERT_EQUAL (counts.cut, 0);
+  CU_ASSERT_TRUE (counts.served > 0);
+  CU_ASSERT_TRUE (counts.rejected > 0);
+  CU_ASSERT_EQUAL (counts.served + counts.rejected, UPLOADS);
+  uint32_t runs = jd_shard_target_total_run_count (fixture.targets[STUDIO].target) +
+                  jd_shard_target_total_run_count (fixture.targets[STUDIO + 1].target);
+  CU_ASSERT_EQUAL (runs, counts.served);
+  CU_ASSERT_EQUAL (jd_host_fixture_stop_host (&fixture, 0, SIGTERM), 0);
+  jd_host_fixture_close (&fixture);
+}
+
+int
+main (void)
+{
+  static const jd_test_case_t cases[] = {
+    { "running edits survive many uploads", running_edits_survive_many_uploads },
+  };
+  return JD_TEST_RUN ("host_uploads", cases);
+}
--- a/test/unit/test_byte_budget.c
+++ b/test/unit/test_byte_budget.c
@@ -27,11 +27,55 @@
   CU_ASSERT_EQUAL (budget.holders.length, 0);
 }
 
+/* Guards against cutting a request that a target may have run while an unfinished upload
+ * or an answer that may be repeated can give way (review/3). */
+static void
+protected_holders_are_cut_last (void)
+{
+  jd_byte_budget_t budget;
+  jd_byte_holder_t running = { .is_protected = true }, upload = { .bytes = 0 };
+  jd_byte_holder_t running_too = { .is_protected = true };
+  jd_byte_budget_init (&budget, 100);
+  jd_byte_budget_set (&budget, &running, 60);
+  jd_byte_budget_set (&budget, &upload, 20);
+  jd_byte_budget_set (&budget, &running_too, 70);
+  CU_ASSERT_PTR_EQUAL (jd_byte_budget_excess (&budget), &upload);
+  jd_byte_budget_set (&budget, &upload, 0);
+  CU_ASSERT_PTR_EQUAL (jd_byte_budget_excess (&budget), &running_too);
+  jd_byte_budget_set (&budget, &running_too, 0);
+  CU_ASSERT_PTR_NULL (jd_byte_budget_excess (&budget));
+}
+
+/* Guards against large requests that start while little of the budget is left, so that
+ * others have to be cut, and against small ones that are rejected for them. */
+static void
+large_requests_start_with_room_only (void)
+{
+  static const struct
+  {
+    uint64_t protected_bytes, bytes;
+    bool admitted;
+  } cases[] = {
+    { 0, 1000, true }, { 1, 750, false }, { 550, 200, true }, { 551, 200, false },
+    { 751, 10, true }, { 990, 10, true }, { 990, 11, false },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      jd_byte_budget_t budget = { .limit_bytes = 1000,
+                                  .held_bytes = 1000,
+                                  .protected_bytes = cases[i].protected_bytes };
+      CU_ASSERT_EQUAL (jd_byte_budget_admits (&budget, cases[i].bytes, 100),
+                       cases[i].admitted);
+    }
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
     { "largest holder is cut first", largest_holder_is_cut_first },
+    { "protected holders are cut last", protected_holders_are_cut_last },
+    { "large requests start with room only", large_requests_start_with_room_only },
   };
   return JD_TEST_RUN ("byte_budget", cases);
 }
