fix(transport): end exchanges that wait for an evacuated zone

Cause: exchanges that wait for a connection stay in the queue of their target. Removal, drain and pause end them, the evacuation of a zone did not. Ruled out: the choice of targets, which follows zone_drained at once. Measured: test_replica_links, "waiting exchanges leave an evacuated zone", failed before, passes after.

--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -24,7 +24,7 @@
   JD_REPLICA_TIMED_OUT,   /* No answer arrived before the timeout. */
   JD_REPLICA_ABANDONED,   /* The request was cancelled before the answer arrived. */
   JD_REPLICA_REPLACED,    /* Another target now uses the address. */
-  JD_REPLICA_PAUSED,      /* Not sent, because the target asked for a pause meanwhile. */
+  JD_REPLICA_PAUSED,      /* Not sent, because the target wants none meanwhile. */
 } jd_replica_outcome_t;
 
 /* The published entry of one target. */
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -299,13 +299,15 @@
                   (replica->notice->return_at_us - now_us) / JD_US_PER_MS);
 }
 
-/* Returns TRUE if the target wants no requests, including those that wait for a
- * connection to it. */
+/* Returns TRUE if the target wants no requests or its zone is evacuated. This holds for
+ * the exchanges that wait for a connection to it too. */
 static bool
 wants_no_requests (const jd_link_t *link, int64_t now_us)
 {
-  return jd_target_notice_access (link->replica->notice, INT64_MAX, now_us) ==
-         JD_TARGET_ACCESS_CLOSED;
+  const jd_replica_t *replica = link->replica;
+  return replica->zone_drained ||
+         jd_target_notice_access (replica->notice, INT64_MAX, now_us) ==
+             JD_TARGET_ACCESS_CLOSED;
 }
 
 /* Ends the exchanges that wait for a connection to a target that wants no requests, so
--- a/test/unit/test_replica_links.c
+++ b/test/unit/test_replica_links.c
@@ -34,6 +34,7 @@
 {
   uint32_t done_count;
   jd_replica_outcome_t outcome;
+  bool was_sent;
   char body[64];
   bool is_cancelling; /* The owner cancels its exchanges. */
   uint32_t done_while_cancelling;
@@ -200,6 +201,7 @@
   jd_links_owner_t *owner = context;
   owner->done_count++;
   owner->outcome = result->outcome;
+  owner->was_sent = result->was_sent;
   if (owner->watched && owner->watched->is_cancelling)
     owner->watched->done_while_cancelling++;
   if (result->reply)
@@ -281,6 +283,32 @@
   close_fixture (&fixture);
 }
 
+/* Guards against requests that wait for a target while its zone is evacuated and are sent
+ * to it seconds later: they end at once as not sent. */
+static void
+waiting_exchanges_leave_an_evacuated_zone (void)
+{
+  jd_links_fixture_t fixture;
+  jd_links_owner_t running = { 0 }, waiting = { 0 };
+  open_fixture (&fixture, 1);
+  target (&fixture, 0)->pool->max_connections = 1;
+  send_request (&fixture, 0, 0, 60 * JD_US_PER_S, &running);
+  int connection = accept_connection (&fixture, 0);
+  run_for (&fixture, 0.01);
+  send_request (&fixture, 0, 0, 60 * JD_US_PER_S, &waiting);
+  jd_replica_registry_set_zone_drained (fixture.registry, "a", true);
+  static const char answer[] = "HTTP/1.1 200 OK\r\nS: s1\r\nContent-Length: 0\r\n\r\n";
+  CU_ASSERT_EQUAL (send (connection, answer, strlen (answer), 0),
+                   (ssize_t)strlen (answer));
+  run_until_done (&fixture, &waiting);
+  CU_ASSERT_EQUAL (running.outcome, JD_REPLICA_OK);
+  CU_ASSERT_EQUAL (waiting.done_count, 1);
+  CU_ASSERT_EQUAL (waiting.outcome, JD_REPLICA_PAUSED);
+  CU_ASSERT_FALSE (waiting.was_sent);
+  close (connection);
+  close_fixture (&fixture);
+}
+
 /* Guards against a cut answer that is passed on as whole: a reset while a part of the
  * request was unsent was taken for the end of an answer without a length (review/2). */
 static void
@@ -333,6 +361,8 @@
     { "timer survives cancelled attempt at removed target",
       timer_survives_cancelled_attempt_at_removed_target },
     { "cancel ends no other exchange", cancel_ends_no_other_exchange },
+    { "waiting exchanges leave an evacuated zone",
+      waiting_exchanges_leave_an_evacuated_zone },
     { "reset answer to unsent request is broken",
       reset_answer_to_unsent_request_is_broken },
     { "closed answer to unsent request is whole",
