--- a/test/unit/test_published_records.c
+++ b/test/unit/test_published_records.c
@@ -111,6 +111,7 @@
     { "\"gather\":[\"s1\",\"s2\"]", "\"gather\":[\"s1\",2]", "services" },
     { "\"weight\":3", "\"weight\":\"many\"", "services" },
     { "\"name\":\"t1\",", "", "tenants" },
+    { "\"tenants\":[", "\"tenants\":{},\"x\":[", "tenants" },
     { "\"maxBodyBytes\":262144", "\"maxBodyBytes\":[]", "limits" },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -130,6 +131,35 @@
     }
 }
 
+/* Guards against a configuration whose list of tenants is empty, so that no key is valid,
+ * and that opens all routes to any key or none. */
+static void
+routes_are_open_only_without_tenants (void)
+{
+  static const struct
+  {
+    const char *tenants;
+    bool has_tenants;
+  } cases[] = {
+    { "", false },
+    { ",\"tenants\":null", false },
+    { ",\"tenants\":[]", true },
+    { ",\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[]}]", true },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      jd_replica_registry_t *registry = new_registry ();
+      char *text = g_strdup_printf ("{\"version\":1,\"routes\":[]%s}", cases[i].tenants);
+      jd_route_table_t *table =
+          jd_platform_decode_routes (registry, text, strlen (text), NULL);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (table);
+      CU_ASSERT_EQUAL (table->has_tenants, cases[i].has_tenants);
+      jd_route_table_unref (table);
+      g_free (text);
+      jd_replica_registry_free (registry);
+    }
+}
+
 /* Guards against a crash on a corrupt configuration, and against a refusal without an
  * error. */
 static void
@@ -277,6 +307,7 @@
       decodes_corrupt_configurations_without_crash },
     { "odd target records name no target", odd_target_records_name_no_target },
     { "corrupt target records do no harm", corrupt_target_records_do_no_harm },
+    { "routes are open only without tenants", routes_are_open_only_without_tenants },
     { "heartbeats are not changes", heartbeats_are_not_changes },
   };
   return JD_TEST_RUN ("published_records", cases);
