fix(daemons): read the store in time after its reader was killed

Cause: a copying host follows a silent reader until its records are 2.5 s old, a constant, and then waits for its next step, up to the read interval of 1 s. Ruled out: the read of the store (4 ms); copies from other zones, which only help where there are some. Change: the greatest age is three quarters of the limit for changes, and a step of the source is due when the records reach it. On fleets with longer limits sources are followed longer than before, so they read the store less often.

--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -11,6 +11,9 @@
 
 /* Reads of the records within the limit for applying a drain or a configuration. */
 #define READS_PER_CHANGE_LIMIT 3
+/* Share of this limit, in percent, after which records of another host are too old to
+ * follow. The rest is for a read of the store by this host. */
+#define SOURCE_AGE_PERCENT 75
 #define READ_INTERVAL_MIN_US (300 * JD_US_PER_MS)
 #define READ_INTERVAL_MAX_US (2 * JD_US_PER_S)
 #define GOSSIP_INTERVAL_S 0.25
@@ -520,6 +523,7 @@
     .feed = host->feed,
     .peers = host->peers,
     .peer_port = settings->peer_port,
+    .max_age_us = change_limit_us / 100 * SOURCE_AGE_PERCENT,
     .read_interval_us = CLAMP (change_limit_us / READS_PER_CHANGE_LIMIT,
                                READ_INTERVAL_MIN_US, READ_INTERVAL_MAX_US),
     .heartbeat_interval_us = settings->heartbeat_interval_us,
--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -31,6 +31,8 @@
  * expires after three missed heartbeats, and the first may have been due when the outage
  * began. */
 #define OUTAGE_MIN_HEARTBEATS 2
+/* Shortest time between two steps, while a copy is on its way. */
+#define STEP_MIN_US (50 * JD_US_PER_MS)
 /* Time that a starting host waits for gossip of other hosts before it reads the store. */
 #define FIRST_READ_DELAY_S 0.05
 
@@ -276,6 +278,23 @@
   source->options.read_store (source->options.store_context);
 }
 
+/* Returns the time until the next step. A host that copies takes it at the latest when
+ * its records reach the age at which it reads the store itself, because its source may
+ * have ended without a word. */
+static int64_t
+next_step_in_us (const jd_record_source_t *source, bool should_read, int64_t now_us)
+{
+  const jd_record_feed_t *feed = source->options.feed;
+  int64_t step_us = source->options.read_interval_us;
+  if (source->store_failed || jd_record_feed_removals_held_until_us (feed) > now_us)
+    step_us = MIN (step_us, RECOVERY_INTERVAL_US);
+  if (should_read)
+    return step_us;
+  int64_t expires_in_us =
+      jd_record_feed_as_of_us (feed) + source->options.max_age_us - now_us;
+  return MIN (step_us, MAX (expires_in_us, STEP_MIN_US));
+}
+
 /* Timer callback: reads the store or copies from a peer, and sets the time of the next
  * step. */
 static void
@@ -284,7 +303,8 @@
   jd_record_source_t *source = timer->data;
   int64_t now_us = jd_monotonic_us ();
   const jd_peer_t *peer = jd_peer_table_best_source (
-      source->options.peers, jd_record_feed_revision (source->options.feed), now_us);
+      source->options.peers, jd_record_feed_revision (source->options.feed),
+      source->options.max_age_us, now_us);
   bool is_current_reader = jd_record_source_reads_store (source, now_us);
   bool should_read = !peer || jd_peer_table_should_read (source->options.peers,
                                                          is_current_reader, now_us);
@@ -293,12 +313,8 @@
     read_store (source, now_us);
   if (peer && (!should_read || source->store_failed))
     follow_peer (source, peer);
-  bool is_recovering = source->store_failed || jd_record_feed_removals_held_until_us (
-                                                   source->options.feed) > now_us;
-  timer->repeat = (double)(is_recovering ? MIN (RECOVERY_INTERVAL_US,
-                                                source->options.read_interval_us)
-                                         : source->options.read_interval_us) /
-                  (double)JD_US_PER_S;
+  timer->repeat =
+      (double)next_step_in_us (source, should_read, now_us) / (double)JD_US_PER_S;
   ev_timer_again (loop, timer);
 }
 
@@ -311,7 +327,8 @@
   if (jd_record_source_reads_store (source, now_us))
     return;
   const jd_peer_t *peer = jd_peer_table_best_source (
-      source->options.peers, jd_record_feed_revision (source->options.feed), now_us);
+      source->options.peers, jd_record_feed_revision (source->options.feed),
+      source->options.max_age_us, now_us);
   if (peer)
     follow_peer (source, peer);
 }
--- a/src/daemons/record_source.h
+++ b/src/daemons/record_source.h
@@ -16,7 +16,8 @@
   jd_record_feed_t *feed;
   jd_peer_table_t *peers;
   uint16_t peer_port;
-  int64_t read_interval_us;      /* Time between two reads. */
+  int64_t max_age_us;       /* Records of another host that are older are not copied. */
+  int64_t read_interval_us; /* Time between two reads. */
   int64_t heartbeat_interval_us; /* Time between two writes of a target's record. */
   void (*read_store) (void *context);
   void *store_context;
--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -27,8 +27,6 @@
 /* The same for hosts that were never heard, while no host is live: after a restart of all
  * hosts the seeds may start a moment later than this host. */
 #define FIRST_CONTACT_INTERVAL_US (200 * JD_US_PER_MS)
-/* Records that are older than this are not copied from another host. */
-#define MAX_SOURCE_AGE_US (2500 * JD_US_PER_MS)
 
 struct jd_peer_table
 {
@@ -351,12 +349,12 @@
 }
 
 /* Returns the host to copy records from, or NULL if there is none: a live host that reads
- * the store, is not leaving and has records at most MAX_SOURCE_AGE_US old. Prefers one
+ * the store, is not leaving and has records at most max_age_us old. Prefers one
  * that has all changes after own_revision, then one of this zone, then one with more
  * recent records. The result is valid until the table changes. */
 const jd_peer_t *
 jd_peer_table_best_source (const jd_peer_table_t *table, int64_t own_revision,
-                           int64_t now_us)
+                           int64_t max_age_us, int64_t now_us)
 {
   const jd_peer_t *best = NULL;
   int64_t best_cost_us = INT64_MAX;
@@ -370,12 +368,12 @@
           !peer->state.reads_store)
         continue;
       int64_t age_us = peer->state.feed_age_us + now_us - peer->last_message_us;
-      if (age_us > MAX_SOURCE_AGE_US)
+      if (age_us >= max_age_us)
         continue;
       bool is_same_zone = strcmp (peer->state.zone, table->own_zone) == 0;
       bool has_changes = own_revision >= peer->state.tombstones_since;
-      int64_t cost_us = age_us / 4 + (is_same_zone ? 0 : MAX_SOURCE_AGE_US) +
-                        (has_changes ? 0 : 2 * MAX_SOURCE_AGE_US);
+      int64_t cost_us = age_us / 4 + (is_same_zone ? 0 : max_age_us) +
+                        (has_changes ? 0 : 2 * max_age_us);
       if (cost_us >= best_cost_us)
         continue;
       best = peer;
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -60,4 +60,5 @@
 bool jd_peer_table_should_read (const jd_peer_table_t *table, bool reads_store_now,
                                 int64_t now_us);
 const jd_peer_t *jd_peer_table_best_source (const jd_peer_table_t *table,
-                                            int64_t own_revision, int64_t now_us);
+                                            int64_t own_revision, int64_t max_age_us,
+                                            int64_t now_us);
--- /dev/null
+++ b/test/process/test_record_source.c
@@ -0,0 +1,94 @@
+#include <signal.h>
+#include <stdio.h>
+
+#include "base/clock.h"
+#include "support/host_lab.h"
+#include "support/test_main.h"
+
+#define SHARDS 2U
+#define TRIALS 4
+#define READER 0U /* The host that starts first reads the store. */
+#define COPIER 1U /* The other one copies its records. */
+/* Default of config-ms. */
+#define CONFIG_LIMIT_US (3 * JD_US_PER_S)
+
+static uint32_t
+status_with_guest_key (jd_host_fixture_t *fixture)
+{
+  static uint32_t count;
+  char *text = g_strdup_printf (
+      "GET /fetch/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: guest-%u\r\n"
+      "X-Deadline-Ms: 1500\r\n" JD_HOST_FIXTURE_GUEST_KEY "\r\n",
+      count++);
+  jd_host_fixture_reply_t *reply = jd_host_fixture_call (fixture, COPIER, text);
+  uint32_t status = reply->status;
+  jd_host_fixture_reply_free (reply);
+  g_free (text);
+  return status;
+}
+
+/* Calls the copying host with the guest key until it gets a status. Returns the time that
+ * this took, or INT64_MAX if it is longer than the limit. */
+static int64_t
+wait_for_guest_status (jd_host_fixture_t *fixture, uint32_t status, int64_t limit_us)
+{
+  int64_t start_us = jd_monotonic_us ();
+  while (jd_monotonic_us () - start_us < limit_us)
+    {
+      if (status_with_guest_key (fixture) == status)
+        return jd_monotonic_us () - start_us;
+      jd_host_fixture_run (fixture, 0.02);
+    }
+  return INT64_MAX;
+}
+
+/* Publishes a configuration with or without the guest key. */
+static void
+publish_guest_key (jd_host_fixture_t *fixture, bool has_guest_key)
+{
+  fixture->has_guest_key = has_guest_key;
+  jd_host_fixture_publish_config (fixture);
+}
+
+/* Guards against a withdrawn key that a host accepts for longer than the limit, because
+ * the host of its zone that reads the store is killed as the key is withdrawn. */
+static void
+changes_apply_in_time_after_the_reader_is_killed (void)
+{
+  static jd_host_fixture_t fixture = { .has_one_zone = true };
+  jd_host_fixture_open (&fixture, 2, SHARDS);
+  for (int i = 0; i < TRIALS; i++)
+    {
+      jd_host_fixture_stop_host (&fixture, COPIER, SIGKILL);
+      CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, READER, 5.0));
+      jd_host_fixture_run (&fixture, 1.0);
+      jd_host_fixture_start_host (&fixture, COPIER);
+      CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, COPIER, 5.0));
+      publish_guest_key (&fixture, true);
+      CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 200, 5 * JD_US_PER_S) < INT64_MAX);
+      /* The records of the reader are as recent as they get right after a read. */
+      uint32_t call_count = jd_published_store_call_count (fixture.store);
+      while (jd_published_store_call_count (fixture.store) == call_count)
+        jd_host_fixture_run (&fixture, 0.002);
+      jd_host_fixture_run (&fixture, 0.05 + 0.07 * i);
+      kill (fixture.hosts[READER].pid, SIGKILL);
+      publish_guest_key (&fixture, false);
+      int64_t late_us = wait_for_guest_status (&fixture, 401, 2 * CONFIG_LIMIT_US);
+      printf ("%.2f s ", (double)late_us / (double)JD_US_PER_S);
+      CU_ASSERT_TRUE (late_us < CONFIG_LIMIT_US);
+      jd_host_fixture_stop_host (&fixture, READER, SIGKILL);
+      jd_host_fixture_start_host (&fixture, READER);
+      jd_host_fixture_run (&fixture, 0.2);
+    }
+  jd_host_fixture_close (&fixture);
+}
+
+int
+main (void)
+{
+  static const jd_test_case_t cases[] = {
+    { "changes apply in time after the reader is killed",
+      changes_apply_in_time_after_the_reader_is_killed },
+  };
+  return JD_TEST_RUN ("record_source", cases);
+}
--- a/test/support/host_lab.c
+++ b/test/support/host_lab.c
@@ -565,7 +565,8 @@
     {
       jd_host_fixture_host_t *host = &fixture->hosts[i];
       g_snprintf (host->ip, sizeof (host->ip), "127.%u.0.%u", subnet, i + 1);
-      g_strlcpy (host->zone, i % 2 ? "b" : "a", sizeof (host->zone));
+      g_strlcpy (host->zone, i % 2 && !fixture->has_one_zone ? "b" : "a",
+                 sizeof (host->zone));
       host->callers_port = jd_test_free_port ();
       host->readiness_port = jd_test_free_port ();
       host->metrics_port = jd_test_free_port ();
--- a/test/support/host_lab.h
+++ b/test/support/host_lab.h
@@ -76,6 +76,7 @@
   bool first_start;         /* Value of first-start in the settings of started hosts. */
   uint32_t memory_mb;       /* Memory limit of started hosts; 0: the default. */
   int32_t route_timeout_ms; /* Time limit of all routes; 0: 2 s. */
+  bool has_one_zone;        /* All hosts are in zone a; otherwise in two by turns. */
   bool uses_relays;         /* Hosts connect to targets through relays. */
   char *directory;          /* Temporary directory of the settings files. */
   jd_host_fixture_host_t hosts[JD_HOST_FIXTURE_HOSTS_MAX];
--- a/test/unit/test_peer_table.c
+++ b/test/unit/test_peer_table.c
@@ -4,6 +4,7 @@
 #include "support/test_main.h"
 
 #define SECOND_US JD_US_PER_S
+#define MAX_AGE_US (3 * SECOND_US)
 
 static jd_peer_state_t
 make_state (uint32_t ip, const char *zone, uint64_t sequence, bool reads_store)
@@ -138,19 +139,23 @@
 host_of_own_zone_with_changes_is_copied (void)
 {
   jd_peer_table_t *table = jd_peer_table_new (5, "a");
-  CU_ASSERT_PTR_NULL (jd_peer_table_best_source (table, 10, SECOND_US));
+  CU_ASSERT_PTR_NULL (jd_peer_table_best_source (table, 10, MAX_AGE_US, SECOND_US));
   receive_state (table, 1, "b", 1, true, SECOND_US);
-  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, SECOND_US)->state.ip, 1);
+  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, SECOND_US)->state.ip,
+                   1);
   receive_state (table, 2, "a", 1, true, SECOND_US);
-  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, SECOND_US)->state.ip, 2);
+  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, SECOND_US)->state.ip,
+                   2);
   jd_peer_state_t state = make_state (2, "a", 2, true);
   state.tombstones_since = 11;
   jd_peer_table_update (table, &state, SECOND_US);
-  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, SECOND_US)->state.ip, 1);
+  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, SECOND_US)->state.ip,
+                   1);
   state = make_state (1, "b", 2, true);
-  state.feed_age_us = 30 * SECOND_US;
+  state.feed_age_us = MAX_AGE_US;
   jd_peer_table_update (table, &state, SECOND_US);
-  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, SECOND_US)->state.ip, 2);
+  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, SECOND_US)->state.ip,
+                   2);
   jd_peer_table_free (table);
 }
 
