feat(daemons): log what decided that a request is denied

The line of a rejected request names neither its path nor its key, so a wrong route, an unknown key and a configuration that lacks both look alike. Change: request_denied in front of request_rejected, for statuses that callers do not repeat: authority, path, hash of the key, number of keys and routes of the configuration in force.

--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log_event.h"
 
 /* Time that the remaining attempts of a search may run after the answer. It exceeds the
@@ -21,6 +22,8 @@
  * The targets empty the queues that caused the rejection within one objective. */
 #define RETRY_AFTER_OVERLOAD_OBJECTIVES 1
 #define KEY_BYTES_MAX 512
+/* Bytes of a text of the caller in a log line. */
+#define LOGGED_TEXT_MAX 48
 /* Missing parts that are logged for one answer. */
 #define MISSING_PARTS_LOGGED_MAX 4
 
@@ -72,6 +75,51 @@
   int64_t retry_after_us; /* 0: the answer has no Retry-After. */
 } jd_rejection_t;
 
+/* Copies the key of a request to `key` of KEY_BYTES_MAX bytes. Returns FALSE without one.
+ */
+static bool
+read_key (const jd_host_t *host, const jd_http_reader_t *reader, char *key)
+{
+  const jd_host_fields_t *fields = &host->platform.fields;
+  const char *value = jd_http_reader_value (reader, fields->key);
+  size_t scheme_len = strlen (fields->key_scheme);
+  if (!value || g_ascii_strncasecmp (value, fields->key_scheme, scheme_len) != 0 ||
+      value[scheme_len] != ' ')
+    return false;
+  const char *text = value + scheme_len;
+  text += strspn (text, " ");
+  if (g_strlcpy (key, text, KEY_BYTES_MAX) >= KEY_BYTES_MAX)
+    return false;
+  g_strchomp (key);
+  return true;
+}
+
+/* Returns the tenant of the key in a request, or NULL without a valid key. */
+static const jd_tenant_t *
+find_tenant (const jd_host_t *host, const jd_http_reader_t *reader)
+{
+  char key[KEY_BYTES_MAX];
+  return read_key (host, reader, key) ? jd_route_table_tenant (host->routes, key) : NULL;
+}
+
+/* Logs what decided that a request is denied for good, which its caller does not repeat.
+ * The key is logged as a hash. */
+static void
+log_denied (const jd_host_t *host, const jd_http_reader_t *reader, const char *id,
+            const char *cause)
+{
+  char key[KEY_BYTES_MAX] = "";
+  bool has_key = read_key (host, reader, key);
+  const char *authority = jd_http_reader_value (reader, "Host");
+  jd_log_event (G_LOG_LEVEL_INFO, "request_denied",
+                "id=%s cause=%s authority=%.*s path=%.*s key_hash=%08x keys=%u routes=%u",
+                id, cause, LOGGED_TEXT_MAX, authority ? authority : "-",
+                (int)MIN (reader->request_target_len, LOGGED_TEXT_MAX), reader->text->str,
+                has_key ? (uint32_t)jd_hash_text (key, 0) : 0,
+                host->routes ? g_hash_table_size (host->routes->by_key) : 0,
+                host->routes ? host->routes->routes->len : 0);
+}
+
 /* Logs and counts the rejection of a request, and answers it. */
 static void
 reject (jd_host_t *host, jd_caller_t *caller, const jd_http_reader_t *reader,
@@ -79,6 +127,8 @@
 {
   const char *id = jd_http_reader_value (reader, host->platform.fields.request_id);
   jd_counter_add (host->end_counters[rejection->end], 1);
+  if (rejection->end == JD_HOST_END_REJECTED)
+    log_denied (host, reader, id ? id : "-", rejection->cause);
   jd_log_event (
       G_LOG_LEVEL_INFO, "request_rejected",
       "id=%s status=%u cause=%s tenant=%s retry_after_ms=%" G_GINT64_FORMAT
@@ -521,24 +571,6 @@
   run_fanout (request);
 }
 
-/* Returns the tenant of the key in a request, or NULL without a valid key. */
-static const jd_tenant_t *
-find_tenant (const jd_host_t *host, const jd_http_reader_t *reader)
-{
-  const jd_host_fields_t *fields = &host->platform.fields;
-  const char *value = jd_http_reader_value (reader, fields->key);
-  size_t scheme_len = strlen (fields->key_scheme);
-  if (!value || g_ascii_strncasecmp (value, fields->key_scheme, scheme_len) != 0 ||
-      value[scheme_len] != ' ')
-    return NULL;
-  const char *key = value + scheme_len;
-  key += strspn (key, " ");
-  char trimmed[KEY_BYTES_MAX];
-  if (g_strlcpy (trimmed, key, sizeof (trimmed)) >= sizeof (trimmed))
-    return NULL;
-  return jd_route_table_tenant (host->routes, g_strchomp (trimmed));
-}
-
 /* Returns the time that a request may take: that of the caller, but at most that of the
  * route. */
 static int64_t
