fix(routing): hedge no request to a leaving target

Cause: a hedge took the best untried replica of any stage, and a leaving target is the last resort within the drain limit. Ruled out: retries, which have no running attempt and may need it; the drain limit, which closes the target later. Change: a hedge needs a target with open access and a free slot. Measured: test_fanout, "slow read is not hedged to leaving target": 2 sends without the change, 1 with it.

--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -234,10 +234,19 @@
   return true;
 }
 
+/* Returns TRUE if a replica may get a hedge. It needs a free slot: in a queue the hedge
+ * would delay first attempts, and under overload all requests would wait for hedges. A
+ * leaving target is for requests that have no other. */
+static bool
+may_be_hedge (const jd_replica_t *replica, int64_t now_us)
+{
+  return jd_replica_access (replica, now_us) == JD_TARGET_ACCESS_OPEN &&
+         jd_replica_has_free_slot (replica, now_us);
+}
+
 /* Sends the part to another replica if the limits and the budget allow it. Returns TRUE
  * if an attempt was started. An attempt after ones that reached no replica does not count
- * as extra. A hedge needs a replica with a free slot: in a queue it would delay first
- * attempts, and under overload all requests would wait for hedges. */
+ * as extra. */
 static bool
 start_another_attempt (jd_fanout_t *fanout, uint32_t index, bool is_extra, bool is_hedge,
                        int64_t now_us)
@@ -246,7 +255,7 @@
   if (!may_start_attempt (fanout, part, now_us))
     return false;
   jd_replica_t *replica = choose_replica (fanout, part, now_us);
-  if (!replica || (is_hedge && !jd_replica_has_free_slot (replica, now_us)))
+  if (!replica || (is_hedge && !may_be_hedge (replica, now_us)))
     return false;
   if (is_extra && !take_extra_attempt (part->pool, now_us))
     return false;
--- a/test/unit/test_fanout.c
+++ b/test/unit/test_fanout.c
@@ -1,5 +1,7 @@
 #include "routing/fanout.h"
 
+#include <string.h>
+
 #include "base/clock.h"
 #include "support/test_main.h"
 
@@ -152,6 +154,26 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a hedge to a target that said that it is leaving: it is a last resort
+ * for requests that have no other, not a second chance for slow ones. */
+static void
+slow_read_is_not_hedged_to_leaving_target (void)
+{
+  jd_fanout_fixture_t fixture;
+  fixture_open (&fixture, true);
+  jd_replica_registry_set_drain_limit (fixture.registry, 60 * JD_US_PER_S);
+  const jd_replica_t *first = fixture.fanout->parts[0].attempts[0].replica;
+  const char *other = strcmp (first->id, "x") == 0 ? "y" : "x";
+  jd_target_notice_set_leaving (
+      jd_replica_registry_find (fixture.registry, other)->notice, NOW_US);
+  jd_fanout_tick (fixture.fanout, NOW_US + JD_US_PER_S);
+  CU_ASSERT_EQUAL (fixture.sent, 1);
+  jd_fanout_end_attempt (fixture.fanout, 0, 0, JD_REPLICA_BROKEN, true,
+                         NOW_US + JD_US_PER_S);
+  CU_ASSERT_EQUAL (fixture.sent, 2);
+  fixture_close (&fixture);
+}
+
 int
 main (void)
 {
@@ -159,6 +181,8 @@
     { "edit that may have run is not retried", edit_that_may_have_run_is_not_retried },
     { "refused edit is sent to another target", refused_edit_is_sent_to_another_target },
     { "slow read is hedged within limits", slow_read_is_hedged_within_limits },
+    { "slow read is not hedged to leaving target",
+      slow_read_is_not_hedged_to_leaving_target },
     { "request without a target is detected at once",
       request_without_a_target_is_detected_at_once },
   };
