fix(routing): answer 503 if no target got the request by its deadline

Callers saw: 504 for requests that waited in the host for a connection until their deadline, so that edits could not be repeated although none had run. Cause: the fanout did not know whether an attempt had left the host, and ended every request at its deadline as one that may have run. Ruled out: 502 after a cut connection, which stays: the bytes may have arrived. Change: the fanout asks by a callback whether a running attempt was sent, at the deadline and at a stop of the host. Measured: test_fanout, "request that was not sent has not run", fails without the change at the deadline, passes with it.

--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -495,6 +495,20 @@
   return exchange != NULL;
 }
 
+/* Fanout action: returns TRUE if a running attempt was sent to its target. */
+static bool
+on_check_sent (void *context)
+{
+  const jd_request_t *request = context;
+  uint32_t count = request->fanout->part_count * JD_FANOUT_ATTEMPTS_MAX;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (request->exchanges[i] && jd_exchange_was_sent (request->exchanges[i]))
+        return true;
+    }
+  return false;
+}
+
 /* Chooses the service of a weighted route by smooth weighted round robin, so that this
  * host's requests are split by the weights as closely as whole requests allow. */
 static const jd_route_part_t *
@@ -546,9 +560,9 @@
     .caller_path = jd_caller_path (caller),
     .salt = host->salt++ * 2654435761U,
   };
-  jd_fanout_actions_t actions = { .send = on_send,
-                                  .finish = on_finish,
-                                  .context = request };
+  jd_fanout_actions_t actions = {
+    .send = on_send, .is_sent = on_check_sent, .finish = on_finish, .context = request
+  };
   request->fanout = jd_fanout_new (&fanout_request, &actions, now_us);
   request->exchanges = g_new0 (jd_exchange_t *, part_count * JD_FANOUT_ATTEMPTS_MAX);
   if (is_scattered)
@@ -695,19 +709,6 @@
   request_free (request);
 }
 
-/* Returns TRUE if a running attempt of the request was sent to its target. */
-static bool
-has_sent_attempt (const jd_request_t *request)
-{
-  uint32_t count = request->fanout->part_count * JD_FANOUT_ATTEMPTS_MAX;
-  for (uint32_t i = 0; i < count; i++)
-    {
-      if (request->exchanges[i] && jd_exchange_was_sent (request->exchanges[i]))
-        return true;
-    }
-  return false;
-}
-
 /* Answers the requests of a stopping host that are due by its plan. */
 void
 jd_host_end_requests (jd_host_t *host, int64_t now_us)
@@ -717,12 +718,11 @@
     {
       next = item->next;
       jd_request_t *request = item->data;
-      bool is_sent = has_sent_attempt (request);
-      bool was_sent = is_sent || request->fanout->any_may_have_run;
+      bool was_sent = jd_fanout_may_have_run (request->fanout);
       if (!jd_stop_plan_ends_request (&host->stop_plan, request->route,
                                       request->fanout->deadline_us, was_sent, now_us))
         continue;
-      jd_fanout_stop (request->fanout, is_sent);
+      jd_fanout_stop (request->fanout);
       request_free (request);
     }
 }
--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -166,6 +166,15 @@
   fanout->actions.finish (fanout->actions.context, verdict);
 }
 
+/* Returns TRUE if a target ran the request, or may have. */
+bool
+jd_fanout_may_have_run (const jd_fanout_t *fanout)
+{
+  const jd_fanout_actions_t *actions = &fanout->actions;
+  return fanout->any_may_have_run || !actions->is_sent ||
+         actions->is_sent (actions->context);
+}
+
 /* Ends the request if the state of its parts or the time decides the result. Returns TRUE
  * once it has ended. */
 static bool
@@ -182,7 +191,8 @@
            (ended_count == fanout->part_count || now_us >= fanout->early_us))
     finish (fanout, JD_FANOUT_PARTIAL);
   else if (now_us >= fanout->deadline_us)
-    finish (fanout, JD_FANOUT_TIMED_OUT);
+    finish (fanout,
+            jd_fanout_may_have_run (fanout) ? JD_FANOUT_TIMED_OUT : JD_FANOUT_NOT_RUN);
   return fanout->finished;
 }
 
@@ -382,14 +392,13 @@
   return wake_us;
 }
 
-/* Ends the request now, because the host stops. is_sent is TRUE if a running attempt was
- * sent to its target. Parts that make an answer are used. */
+/* Ends the request now, because the host stops. Parts that make an answer are used. */
 void
-jd_fanout_stop (jd_fanout_t *fanout, bool is_sent)
+jd_fanout_stop (jd_fanout_t *fanout)
 {
   if (fanout->done_count >= fanout->needed_parts)
     finish (fanout, JD_FANOUT_PARTIAL);
   else
     finish (fanout,
-            is_sent || fanout->any_may_have_run ? JD_FANOUT_STOPPED : JD_FANOUT_NOT_RUN);
+            jd_fanout_may_have_run (fanout) ? JD_FANOUT_STOPPED : JD_FANOUT_NOT_RUN);
 }
--- a/src/routing/fanout.h
+++ b/src/routing/fanout.h
@@ -13,7 +13,7 @@
   JD_FANOUT_PARTIAL,   /* Enough parts are answered; the others would be too late. */
   JD_FANOUT_FAILED,    /* Too few parts can still be answered; an attempt may have run. */
   JD_FANOUT_NOT_RUN,   /* Too few parts can still be answered, and no attempt ran. */
-  JD_FANOUT_TIMED_OUT, /* The deadline of the request has passed. */
+  JD_FANOUT_TIMED_OUT, /* The deadline has passed; an attempt may have run. */
   JD_FANOUT_STOPPED,   /* The host stops; an attempt may have run. */
 } jd_fanout_verdict_t;
 
@@ -22,6 +22,9 @@
 {
   /* Sends an attempt. Returns FALSE if it cannot be sent. */
   bool (*send) (void *context, uint32_t part, uint32_t attempt, jd_replica_t *replica);
+  /* Returns TRUE if a running attempt left this host; FALSE while all of them wait for a
+   * connection. NULL: attempts do not wait. */
+  bool (*is_sent) (void *context);
   /* Called once, when the request has ended. The callback must not free the fanout; its
    * caller may free it after the call that invoked the callback has returned. */
   void (*finish) (void *context, jd_fanout_verdict_t verdict);
@@ -89,4 +92,5 @@
                             jd_replica_outcome_t outcome, bool may_have_run,
                             int64_t now_us);
 int64_t jd_fanout_tick (jd_fanout_t *fanout, int64_t now_us);
-void jd_fanout_stop (jd_fanout_t *fanout, bool is_sent);
+void jd_fanout_stop (jd_fanout_t *fanout);
+bool jd_fanout_may_have_run (const jd_fanout_t *fanout);
--- a/test/unit/test_fanout.c
+++ b/test/unit/test_fanout.c
@@ -14,6 +14,7 @@
   jd_route_t *route;
   jd_fanout_t *fanout;
   uint32_t sent;
+  bool is_sent; /* The running attempts left the host. */
   bool finished;
   jd_fanout_verdict_t verdict;
 } jd_fanout_fixture_t;
@@ -31,6 +32,13 @@
   return true;
 }
 
+static bool
+is_sent (void *context)
+{
+  const jd_fanout_fixture_t *fixture = context;
+  return fixture->is_sent;
+}
+
 static void
 record_verdict (void *context, jd_fanout_verdict_t verdict)
 {
@@ -43,7 +51,7 @@
 static void
 fixture_open (jd_fanout_fixture_t *fixture, bool idempotent)
 {
-  *fixture = (jd_fanout_fixture_t){ 0 };
+  *fixture = (jd_fanout_fixture_t){ .is_sent = true };
   jd_replica_events_t events = { ignore_replica, ignore_replica, NULL };
   fixture->registry = jd_replica_registry_new ("a", &events);
   fixture->table = jd_route_table_new (1);
@@ -67,9 +75,9 @@
     .part_count = 1,
     .deadline_us = NOW_US + 3 * JD_US_PER_S,
   };
-  jd_fanout_actions_t actions = { .send = count_send,
-                                  .finish = record_verdict,
-                                  .context = fixture };
+  jd_fanout_actions_t actions = {
+    .send = count_send, .is_sent = is_sent, .finish = record_verdict, .context = fixture
+  };
   fixture->fanout = jd_fanout_new (&request, &actions, NOW_US);
   jd_fanout_start (fixture->fanout, NOW_US);
 }
@@ -174,6 +182,36 @@
   fixture_close (&fixture);
 }
 
+/* Guards against status 504 for a request that no target got, which its caller must not
+ * repeat: neither at its deadline nor at the stop of the host. */
+static void
+request_that_was_not_sent_has_not_run (void)
+{
+  static const struct
+  {
+    bool is_sent, stops;
+    jd_fanout_verdict_t verdict;
+  } cases[] = {
+    { false, false, JD_FANOUT_NOT_RUN },
+    { true, false, JD_FANOUT_TIMED_OUT },
+    { false, true, JD_FANOUT_NOT_RUN },
+    { true, true, JD_FANOUT_STOPPED },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      jd_fanout_fixture_t fixture;
+      fixture_open (&fixture, false);
+      fixture.is_sent = cases[i].is_sent;
+      if (cases[i].stops)
+        jd_fanout_stop (fixture.fanout);
+      else
+        jd_fanout_tick (fixture.fanout, NOW_US + 3 * JD_US_PER_S);
+      CU_ASSERT_TRUE (fixture.finished);
+      CU_ASSERT_EQUAL (fixture.verdict, cases[i].verdict);
+      fixture_close (&fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -183,6 +221,7 @@
     { "slow read is hedged within limits", slow_read_is_hedged_within_limits },
     { "slow read is not hedged to leaving target",
       slow_read_is_not_hedged_to_leaving_target },
+    { "request that was not sent has not run", request_that_was_not_sent_has_not_run },
     { "request without a target is detected at once",
       request_without_a_target_is_detected_at_once },
   };
--- a/test/unit/test_target_notice.c
+++ b/test/unit/test_target_notice.c
@@ -222,7 +222,7 @@
                                   .parts = (jd_route_part_t *)(void *)route->parts->data,
                                   .part_count = 4,
                                   .deadline_us = NOW_US + 10 * JD_US_PER_S };
-  jd_fanout_actions_t actions = { send_nothing, ignore_verdict, NULL };
+  jd_fanout_actions_t actions = { .send = send_nothing, .finish = ignore_verdict };
   jd_fanout_t *fanout = jd_fanout_new (&request, &actions, NOW_US);
   CU_ASSERT_FALSE (jd_fanout_can_succeed (fanout, NOW_US));
   CU_ASSERT_EQUAL (jd_fanout_servable_in_us (fanout, NOW_US), 2 * JD_US_PER_S);
