test: satisfy the linter in two new tests

Cause: an implicit widening of a multiplication, and a pointer that CUnit's fatal assertion does not mark as checked; make lint failed. Measured: clang-tidy reports nothing for both files.

--- a/test/unit/test_published_records.c
+++ b/test/unit/test_published_records.c
@@ -153,6 +153,7 @@
       jd_route_table_t *table =
           jd_platform_decode_routes (registry, text, strlen (text), NULL);
       CU_ASSERT_PTR_NOT_NULL_FATAL (table);
+      g_assert (table != NULL);
       CU_ASSERT_EQUAL (table->has_tenants, cases[i].has_tenants);
       jd_route_table_unref (table);
       g_free (text);
--- a/test/unit/test_replica_links.c
+++ b/test/unit/test_replica_links.c
@@ -16,7 +16,7 @@
  * a network with small windows. */
 #define SEGMENT_BYTES 1448
 #define RECEIVE_BYTES 16384
-#define LONG_BODY_BYTES (8 * 1024 * 1024)
+#define LONG_BODY_BYTES ((size_t)8 * 1024 * 1024)
 #define OPEN_ENDED_HEAD "HTTP/1.1 200 OK\r\nS: s1\r\nConnection: close\r\n\r\n"
 
 /* A host's connections to targets whose side of each connection a test plays itself. */
