fix(daemons): bound the copies of a host whose source fails

Cause: the step that is due when records expire could come every 50 ms while a copy fails, and also before the first records; many hosts would ask one reader 20 times a second. Change: at least 200 ms between two steps, and the read interval before the first records, as before.

--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -31,8 +31,9 @@
  * expires after three missed heartbeats, and the first may have been due when the outage
  * began. */
 #define OUTAGE_MIN_HEARTBEATS 2
-/* Shortest time between two steps, while a copy is on its way. */
-#define STEP_MIN_US (50 * JD_US_PER_MS)
+/* Shortest time between two steps of a host that copies, so that failed copies do not
+ * load their source. */
+#define STEP_MIN_US (200 * JD_US_PER_MS)
 /* Time that a starting host waits for gossip of other hosts before it reads the store. */
 #define FIRST_READ_DELAY_S 0.05
 
@@ -288,10 +289,10 @@
   int64_t step_us = source->options.read_interval_us;
   if (source->store_failed || jd_record_feed_removals_held_until_us (feed) > now_us)
     step_us = MIN (step_us, RECOVERY_INTERVAL_US);
-  if (should_read)
+  int64_t as_of_us = jd_record_feed_as_of_us (feed);
+  if (should_read || as_of_us == 0)
     return step_us;
-  int64_t expires_in_us =
-      jd_record_feed_as_of_us (feed) + source->options.max_age_us - now_us;
+  int64_t expires_in_us = as_of_us + source->options.max_age_us - now_us;
   return MIN (step_us, MAX (expires_in_us, STEP_MIN_US));
 }
 
