fix(daemons): log no query of a denied request

Cause: the line request_denied showed the first bytes of the request target, and a query may hold what callers search for. Change: the path only; its length is computed in one place. Measured: builds; a change of one log line.

--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -102,8 +102,16 @@
   return read_key (host, reader, key) ? jd_route_table_tenant (host->routes, key) : NULL;
 }
 
+/* Returns the length of the path, without the query, at the start of the reader's text.
+ */
+static size_t
+path_length (const jd_http_reader_t *reader)
+{
+  return MIN (strcspn (reader->text->str, "?"), reader->request_target_len);
+}
+
 /* Logs what decided that a request is denied for good, which its caller does not repeat.
- * The key is logged as a hash. */
+ * The key is logged as a hash, the query not at all. */
 static void
 log_denied (const jd_host_t *host, const jd_http_reader_t *reader, const char *id,
             const char *cause)
@@ -114,7 +122,7 @@
   jd_log_event (G_LOG_LEVEL_INFO, "request_denied",
                 "id=%s cause=%s authority=%.*s path=%.*s key_hash=%08x keys=%u routes=%u",
                 id, cause, LOGGED_TEXT_MAX, authority ? authority : "-",
-                (int)MIN (reader->request_target_len, LOGGED_TEXT_MAX), reader->text->str,
+                (int)MIN (path_length (reader), LOGGED_TEXT_MAX), reader->text->str,
                 has_key ? (uint32_t)jd_hash_text (key, 0) : 0,
                 host->routes ? g_hash_table_size (host->routes->by_key) : 0,
                 host->routes ? host->routes->routes->len : 0);
@@ -624,10 +632,8 @@
                                  .retry_after_us = RETRY_AFTER_NO_CONFIGURATION_US });
       return;
     }
-  size_t path_len = strcspn (reader->text->str, "?");
-  const jd_route_t *route =
-      jd_route_table_match (host->routes, host_field, reader->text->str,
-                            MIN (path_len, reader->request_target_len));
+  const jd_route_t *route = jd_route_table_match (
+      host->routes, host_field, reader->text->str, path_length (reader));
   if (!route)
     {
       reject (host, caller, reader,
