fix(daemons): deny no request for good with an old configuration

Callers saw: 401 for keys that a cut-off host did not know. Cause: a host denied what its records lack, however old they were. Callers do not repeat a request after 401 or 404, so none asked a host that knew better. Ruled out by the logs of all hosts: unreadable requests (none), 4xx of targets that were passed on (none), refused or older configurations (none). Change: 401 and 404 need records younger than three quarters of the limit for changes; otherwise 503 with Retry-After, as without a configuration.

--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -11,8 +11,8 @@
 
 /* Reads of the records within the limit for applying a drain or a configuration. */
 #define READS_PER_CHANGE_LIMIT 3
-/* Share of this limit, in percent, after which records of another host are too old to
- * follow. The rest is for a read of the store by this host. */
+/* Share of this limit, in percent, after which records are too old to follow another host
+ * or to deny a request for good. The rest is for a read of the store by this host. */
 #define SOURCE_AGE_PERCENT 75
 #define READ_INTERVAL_MIN_US (300 * JD_US_PER_MS)
 #define READ_INTERVAL_MAX_US (2 * JD_US_PER_S)
--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -149,6 +149,24 @@
                            MIN (rejection->retry_after_us, RETRY_AFTER_MAX_US));
 }
 
+/* Rejects a request for which the configuration has no route or key. Its caller does not
+ * repeat it after 404 or 401, so these are for a host whose configuration is current; the
+ * route or key may be newer than the one of a host that is cut off. */
+static void
+deny (jd_host_t *host, jd_caller_t *caller, const jd_http_reader_t *reader,
+      uint32_t status, const char *cause)
+{
+  jd_rejection_t rejection = { .status = status,
+                               .end = JD_HOST_END_REJECTED,
+                               .cause = cause };
+  if (!jd_record_source_is_current (host->record_source, jd_monotonic_us ()))
+    rejection = (jd_rejection_t){ .status = 503,
+                                  .end = JD_HOST_END_NOT_RUN,
+                                  .cause = "configuration_old",
+                                  .retry_after_us = RETRY_AFTER_NO_CONFIGURATION_US };
+  reject (host, caller, reader, &rejection);
+}
+
 /* Rejects a request above the rate limit of its tenant, and logs the quota's state. */
 static void
 reject_above_rate (jd_host_t *host, jd_caller_t *caller, const jd_http_reader_t *reader,
@@ -636,18 +654,14 @@
       host->routes, host_field, reader->text->str, path_length (reader));
   if (!route)
     {
-      reject (host, caller, reader,
-              &(jd_rejection_t){
-                  .status = 404, .end = JD_HOST_END_REJECTED, .cause = "no_route" });
+      deny (host, caller, reader, 404, "no_route");
       return;
     }
   route->latency->recent_requests += 1.0;
   const jd_tenant_t *tenant = find_tenant (host, reader);
   if (!tenant && host->routes->has_tenants && !route->needs_no_key)
     {
-      reject (host, caller, reader,
-              &(jd_rejection_t){
-                  .status = 401, .end = JD_HOST_END_REJECTED, .cause = "unknown_key" });
+      deny (host, caller, reader, 401, "unknown_key");
       return;
     }
   int64_t deadline_us = now_us + time_limit_us (host, reader, route);
--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -68,6 +68,14 @@
          now_us - source->last_read_us < read_age_max_us (source);
 }
 
+/* Returns TRUE if the records are recent enough to decide by what they lack. */
+bool
+jd_record_source_is_current (const jd_record_source_t *source, int64_t now_us)
+{
+  int64_t as_of_us = jd_record_feed_as_of_us (source->options.feed);
+  return as_of_us > 0 && now_us - as_of_us < source->options.max_age_us;
+}
+
 /* Logs a change between reading the store and copying from a peer. */
 static void
 log_role_change (jd_record_source_t *source, bool reads_store)
--- a/src/daemons/record_source.h
+++ b/src/daemons/record_source.h
@@ -16,8 +16,8 @@
   jd_record_feed_t *feed;
   jd_peer_table_t *peers;
   uint16_t peer_port;
-  int64_t max_age_us;       /* Records of another host that are older are not copied. */
-  int64_t read_interval_us; /* Time between two reads. */
+  int64_t max_age_us; /* Records that are older may lack changes that have to apply. */
+  int64_t read_interval_us;      /* Time between two reads. */
   int64_t heartbeat_interval_us; /* Time between two writes of a target's record. */
   void (*read_store) (void *context);
   void *store_context;
@@ -32,6 +32,7 @@
 void jd_record_source_on_store_read (jd_record_source_t *source, bool success,
                                      int64_t requested_us);
 void jd_record_source_on_peer_state (jd_record_source_t *source);
+bool jd_record_source_is_current (const jd_record_source_t *source, int64_t now_us);
 bool jd_record_source_reads_store (const jd_record_source_t *source, int64_t now_us);
 GString *jd_record_source_render (const jd_record_feed_t *feed, int64_t after,
                                   int64_t now_us);
--- a/test/process/test_record_source.c
+++ b/test/process/test_record_source.c
@@ -83,12 +83,32 @@
   jd_host_fixture_close (&fixture);
 }
 
+/* Guards against a host that is cut off from the store and denies a key that was added
+ * meanwhile for good: its caller would not ask another host. */
+static void
+old_configuration_denies_no_request (void)
+{
+  static jd_host_fixture_t fixture = { .has_one_zone = true };
+  jd_host_fixture_open (&fixture, 2, SHARDS);
+  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, COPIER, 5.0));
+  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 401, CONFIG_LIMIT_US) < INT64_MAX);
+  jd_published_store_set_mode (fixture.store, JD_STORE_SILENT);
+  jd_host_fixture_run (&fixture, 0.1);
+  publish_guest_key (&fixture, true);
+  jd_host_fixture_run (&fixture, (double)CONFIG_LIMIT_US / (double)JD_US_PER_S);
+  CU_ASSERT_EQUAL (status_with_guest_key (&fixture), 503);
+  jd_published_store_set_mode (fixture.store, JD_STORE_SERVES);
+  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 200, 2 * CONFIG_LIMIT_US) < INT64_MAX);
+  jd_host_fixture_close (&fixture);
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
     { "changes apply in time after the reader is killed",
       changes_apply_in_time_after_the_reader_is_killed },
+    { "old configuration denies no request", old_configuration_denies_no_request },
   };
   return JD_TEST_RUN ("record_source", cases);
 }
