--- a/test/support/host_lab.c
+++ b/test/support/host_lab.c
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "support/child.h"
 #include "support/free_port.h"
+#include "support/loop_run.h"
 #include "transport/http_reader.h"
 #include "transport/socket_address.h"
 
@@ -287,22 +288,11 @@
   return false;
 }
 
-static void
-stop_loop (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  ev_break (loop, EVBREAK_ONE);
-}
-
 /* Runs the event loop for some seconds. */
 void
 jd_host_fixture_run (jd_host_fixture_t *fixture, double seconds)
 {
-  ev_timer timer;
-  ev_now_update (fixture->loop);
-  ev_timer_init (&timer, stop_loop, seconds, 0.0);
-  ev_timer_start (fixture->loop, &timer);
-  ev_run (fixture->loop, 0);
-  ev_timer_stop (fixture->loop, &timer);
+  jd_test_run_loop (fixture->loop, seconds);
 }
 
 static json_t *
--- a/test/unit/test_connection_upkeep.c
+++ b/test/unit/test_connection_upkeep.c
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/rng.h"
 #include "routing/replica_registry.h"
+#include "support/loop_run.h"
 #include "support/test_main.h"
 #include "transport/replica_links.h"
 
@@ -94,23 +95,6 @@
   ev_loop_destroy (fixture->loop);
 }
 
-static void
-stop_loop (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  ev_break (loop, EVBREAK_ALL);
-}
-
-static void
-run_for (jd_upkeep_fixture_t *fixture, double seconds)
-{
-  ev_timer timer;
-  ev_timer_init (&timer, stop_loop, seconds, 0.0);
-  ev_now_update (fixture->loop);
-  ev_timer_start (fixture->loop, &timer);
-  ev_run (fixture->loop, 0);
-  ev_timer_stop (fixture->loop, &timer);
-}
-
 /* Guards against connections to targets that get no requests: on a fleet of 295 hosts,
  * most of 600,000 connections were to services that no configuration named. */
 static void
@@ -119,7 +103,7 @@
   jd_upkeep_fixture_t fixture = { 0 };
   open_fixture (&fixture, 3);
   publish_targets (&fixture, jd_monotonic_us () - 60 * JD_US_PER_S, 0);
-  run_for (&fixture, 1.6);
+  jd_test_run_loop (fixture.loop, 1.6);
   CU_ASSERT_EQUAL (jd_replica_links_opened_total (fixture.links), 0);
   close_fixture (&fixture);
 }
@@ -140,10 +124,10 @@
       int64_t now_us = jd_monotonic_us ();
       open_fixture (&fixture, cases[i].hosts);
       publish_targets (&fixture, now_us, now_us);
-      run_for (&fixture, 1.6);
+      jd_test_run_loop (fixture.loop, 1.6);
       uint64_t opened = jd_replica_links_opened_total (fixture.links);
       CU_ASSERT_TRUE (opened >= cases[i].opened_min && opened <= cases[i].opened_max);
-      run_for (&fixture, 3.0);
+      jd_test_run_loop (fixture.loop, 3.0);
       CU_ASSERT_EQUAL (jd_replica_links_opened_total (fixture.links), TARGETS);
       close_fixture (&fixture);
     }
--- a/test/unit/test_replica_links.c
+++ b/test/unit/test_replica_links.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "routing/replica_registry.h"
+#include "support/loop_run.h"
 #include "support/test_main.h"
 
 #define TARGETS_MAX 3
@@ -129,30 +130,13 @@
   jd_replica_registry_remove (fixture->registry, id, jd_monotonic_us ());
 }
 
-static void
-stop_loop (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  ev_break (loop, EVBREAK_ALL);
-}
-
-static void
-run_for (jd_links_fixture_t *fixture, double seconds)
-{
-  ev_timer timer;
-  ev_timer_init (&timer, stop_loop, seconds, 0.0);
-  ev_now_update (fixture->loop);
-  ev_timer_start (fixture->loop, &timer);
-  ev_run (fixture->loop, 0);
-  ev_timer_stop (fixture->loop, &timer);
-}
-
 /* Runs the event loop until the owner's exchange has ended or WAIT_US have passed. */
 static void
 run_until_done (jd_links_fixture_t *fixture, const jd_links_owner_t *owner)
 {
   int64_t end_us = jd_monotonic_us () + WAIT_US;
   while (owner->done_count == 0 && jd_monotonic_us () < end_us)
-    run_for (fixture, 0.01);
+    jd_test_run_loop (fixture->loop, 0.01);
 }
 
 /* Accepts the next connection to a target; runs the event loop meanwhile. Returns -1
@@ -164,7 +148,7 @@
   int64_t end_us = jd_monotonic_us () + WAIT_US;
   while (fd < 0 && jd_monotonic_us () < end_us)
     {
-      run_for (fixture, 0.01);
+      jd_test_run_loop (fixture->loop, 0.01);
       fd = accept4 (fixture->listeners[index], NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
     }
   CU_ASSERT_NOT_EQUAL_FATAL (fd, -1);
@@ -243,14 +227,14 @@
   first.cancelled[0] = send_request (&fixture, 1, 0, 60 * JD_US_PER_S, &second);
   int connections[] = { accept_connection (&fixture, 0),
                         accept_connection (&fixture, 1) };
-  run_for (&fixture, 0.01);
+  jd_test_run_loop (fixture.loop, 0.01);
   remove_target (&fixture, 0);
   remove_target (&fixture, 1);
   run_until_done (&fixture, &first);
   CU_ASSERT_EQUAL (first.done_count, 1);
   CU_ASSERT_NOT_EQUAL (first.outcome, JD_REPLICA_OK);
   CU_ASSERT_EQUAL (second.done_count, 0);
-  run_for (&fixture, 0.3);
+  jd_test_run_loop (fixture.loop, 0.3);
   CU_ASSERT_EQUAL (jd_replica_links_open_count (fixture.links), 0);
   for (size_t i = 0; i < G_N_ELEMENTS (connections); i++)
     close (connections[i]);
@@ -269,7 +253,7 @@
   target (&fixture, 0)->pool->max_connections = 1;
   owner.cancelled[0] = send_request (&fixture, 0, 0, 60 * JD_US_PER_S, &owner);
   int connection = accept_connection (&fixture, 0);
-  run_for (&fixture, 0.01);
+  jd_test_run_loop (fixture.loop, 0.01);
   send_request (&fixture, 0, 0, 60 * JD_US_PER_S, &other);
   int64_t now_us = jd_monotonic_us ();
   jd_target_notice_set_pause (target (&fixture, 0)->notice, 30 * JD_US_PER_S, 0.0,
@@ -294,7 +278,7 @@
   target (&fixture, 0)->pool->max_connections = 1;
   send_request (&fixture, 0, 0, 60 * JD_US_PER_S, &running);
   int connection = accept_connection (&fixture, 0);
-  run_for (&fixture, 0.01);
+  jd_test_run_loop (fixture.loop, 0.01);
   send_request (&fixture, 0, 0, 60 * JD_US_PER_S, &waiting);
   jd_replica_registry_set_zone_drained (fixture.registry, "a", true);
   static const char answer[] = "HTTP/1.1 200 OK\r\nS: s1\r\nContent-Length: 0\r\n\r\n";
@@ -309,6 +293,21 @@
   close_fixture (&fixture);
 }
 
+/* Sends a long request to the only target, which reads none of it and sends an answer
+ * without a length. Returns the target's side of the connection. */
+static int
+answer_unsent_request (jd_links_fixture_t *fixture, jd_links_owner_t *owner,
+                       const char *answer)
+{
+  open_fixture (fixture, 1);
+  send_request (fixture, 0, LONG_BODY_BYTES, 60 * JD_US_PER_S, owner);
+  int connection = accept_connection (fixture, 0);
+  jd_test_run_loop (fixture->loop, 0.05);
+  CU_ASSERT_EQUAL (send (connection, answer, strlen (answer), 0),
+                   (ssize_t)strlen (answer));
+  return connection;
+}
+
 /* Guards against a cut answer that is passed on as whole: a reset while a part of the
  * request was unsent was taken for the end of an answer without a length (review/2). */
 static void
@@ -316,13 +315,9 @@
 {
   jd_links_fixture_t fixture;
   jd_links_owner_t owner = { 0 };
-  open_fixture (&fixture, 1);
-  send_request (&fixture, 0, LONG_BODY_BYTES, 60 * JD_US_PER_S, &owner);
-  int connection = accept_connection (&fixture, 0);
-  run_for (&fixture, 0.05);
-  static const char text[] = OPEN_ENDED_HEAD "half of an ans";
-  CU_ASSERT_EQUAL (send (connection, text, strlen (text), 0), (ssize_t)strlen (text));
-  run_for (&fixture, 0.05);
+  int connection =
+      answer_unsent_request (&fixture, &owner, OPEN_ENDED_HEAD "half of an ans");
+  jd_test_run_loop (fixture.loop, 0.05);
   CU_ASSERT_EQUAL (owner.done_count, 0);
   reset_connection (connection);
   run_until_done (&fixture, &owner);
@@ -339,12 +334,8 @@
 {
   jd_links_fixture_t fixture;
   jd_links_owner_t owner = { 0 };
-  open_fixture (&fixture, 1);
-  send_request (&fixture, 0, LONG_BODY_BYTES, 60 * JD_US_PER_S, &owner);
-  int connection = accept_connection (&fixture, 0);
-  run_for (&fixture, 0.05);
-  static const char text[] = OPEN_ENDED_HEAD "whole answer";
-  CU_ASSERT_EQUAL (send (connection, text, strlen (text), 0), (ssize_t)strlen (text));
+  int connection =
+      answer_unsent_request (&fixture, &owner, OPEN_ENDED_HEAD "whole answer");
   shutdown (connection, SHUT_WR);
   reset_connection (connection);
   run_until_done (&fixture, &owner);
