test(soak): let a stopping host refuse connections until it has ended

A host counts as undisturbed 4 s after the last disturbance, and this one was still in its grace period of 6 s, with its listener closed, because a request ran on a silent connection. Ruled out: a request that was read and cut; the rule does not count requests that cross a close and are not passed on. Change: a host that is stopping is not undisturbed. In exchange the check of the graceful stop covers requests sent while the host stops: those that ran must be answered. Before, it covered those sent before SIGTERM only.

--- a/test/soak/soak_checks.c
+++ b/test/soak/soak_checks.c
@@ -306,24 +306,26 @@
 }
 
 /* Checks that a connection did not end without an answer and that an answer did not time
- * out, unless the host was disturbed. A stopping host must answer requests that ran. */
+ * out, unless the host was disturbed. A stopping host may refuse connections until its
+ * process ends, but it must answer requests that ran, also those sent meanwhile. */
 static void
 check_missing_answer (jd_soak_t *soak, const jd_soak_call_t *call,
                       const jd_host_fixture_reply_t *reply, uint32_t runs)
 {
   const jd_soak_host_t *host = &soak->hosts[call->host];
   int64_t undisturbed_since_us = call->sent_us - JD_SOAK_UNDISTURBED_US;
+  bool is_undisturbed = host->last_disturbed_us < undisturbed_since_us && !host->stopping;
   if (reply->status != 0)
     return;
-  if (host->last_disturbed_us < undisturbed_since_us && reply->timed_out)
+  if (is_undisturbed && reply->timed_out)
     jd_soak_report_violation (soak, "answer_in_time", call->id,
                               "no answer from an undisturbed host");
-  else if (host->last_disturbed_us < undisturbed_since_us)
+  else if (is_undisturbed)
     jd_soak_report_violation (
         soak, "nothing_cut", call->id,
         "an undisturbed host closed the connection without an answer");
   else if (host->last_kill_or_pause_us < undisturbed_since_us &&
-           host->last_sigterm_us >= call->sent_us && runs > 0)
+           (host->stopping || host->last_sigterm_us >= call->sent_us) && runs > 0)
     jd_soak_report_violation (
         soak, "graceful_stop", call->id,
         "a stopping host closed the connection of a request that ran");
