--- a/src/limits/byte_budget.h
+++ b/src/limits/byte_budget.h
@@ -20,8 +20,8 @@
   GList node; /* In budget->holders while bytes is above 0. */
   uint64_t bytes;
   bool is_protected; /* Cut only if no other holder is left. */
-  /* Frees the bytes or most of them; a call for a holder that it has left with some ends
-   * the connection, which sets them to 0. */
+  /* Frees most of the bytes, or ends the connection, which frees all. A second call
+   * always ends it. */
   void (*cut) (void *context);
   void *context;
 } jd_byte_holder_t;
