--- a/src/config/host_settings.c
+++ b/src/config/host_settings.c
@@ -120,6 +120,11 @@
       (uint16_t)read_number (reader, "listen", "peer-port", -1.0, 1.0, 65535.0);
   settings->seeds = read_seeds (reader);
   settings->store_address = read_address (reader, "store", "address", true);
+  settings->store_stable_us =
+      (int64_t)(read_number (reader, "store", "stable-ms", 4000.0, 0.0, 600000.0) *
+                (double)JD_US_PER_MS);
+  settings->max_removed_share =
+      read_number (reader, "store", "max-removed-percent", 10.0, 0.0, 100.0) / 100.0;
   settings->stop_grace_us =
       (int64_t)(read_number (reader, "limits", "stop-grace-s", 6.0, 0.5, 3600.0) *
                 (double)JD_US_PER_S);
--- a/src/config/host_settings.h
+++ b/src/config/host_settings.h
@@ -16,9 +16,12 @@
   uint16_t peer_port;
   char **seeds; /* "IP:port" of some hosts; NULL-terminated. */
   char *store_address;
-  int64_t stop_grace_us;         /* Time between SIGTERM and SIGKILL. */
-  int64_t drain_limit_us;        /* Time after which a leaving target must receive no new
-                                    requests. */
+  int64_t store_stable_us;  /* Time after an outage until the store is trusted again. */
+  double max_removed_share; /* Share of the records that may vanish at a time before the
+                               store is doubted, 0 to 1. */
+  int64_t stop_grace_us;    /* Time between SIGTERM and SIGKILL. */
+  int64_t drain_limit_us;   /* Time after which a leaving target must receive no new
+                               requests. */
   int64_t heartbeat_interval_us; /* Interval between the heartbeats of a target in the
                                     store. */
   int64_t config_limit_us; /* Time after which all hosts must use a new configuration. */
--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -283,6 +283,14 @@
   jd_record_source_on_store_read (host->record_source, success, requested_us);
 }
 
+/* Handles the start of a new generation of the store: it has returned from an older copy
+ * of its records. */
+void
+jd_host_on_new_generation (jd_host_t *host)
+{
+  jd_record_source_on_new_generation (host->record_source);
+}
+
 /* Applies the limits of a service to its replica pool. */
 static void
 apply_service_limits (jd_host_t *host, const jd_service_limits_t *limits)
@@ -404,6 +412,12 @@
   host->retry_slack = settings->retry_slack;
   host->retry_window_us = settings->retry_window_us;
   host->cold_slack = settings->cold_slack;
+  jd_record_source_limits_t source_limits = {
+    .max_removed_share = settings->max_removed_share,
+    .store_stable_us = settings->store_stable_us,
+    .drain_limit_us = settings->drain_limit_us,
+  };
+  jd_record_source_apply_limits (host->record_source, &source_limits);
   jd_fleet_quota_set_slack (host->quota, settings->rate_slack);
   jd_replica_registry_set_drain_limit (host->registry, settings->drain_limit_us);
   add_seed_peers (host, settings->seeds);
@@ -516,13 +530,13 @@
   host->feed = jd_record_feed_new (&host->platform.feed_events);
   host->quota = jd_fleet_quota_new (settings->first_start);
   host->peers = jd_peer_table_new (host->ip, host->zone);
-  apply_runtime_settings (host, settings);
   int64_t change_limit_us = MIN (settings->drain_limit_us, settings->config_limit_us);
   jd_record_source_options_t source = {
     .loop = host->loop,
     .feed = host->feed,
     .peers = host->peers,
     .peer_port = settings->peer_port,
+    .is_first_start = settings->first_start,
     .max_age_us = change_limit_us / 100 * SOURCE_AGE_PERCENT,
     .read_interval_us = CLAMP (change_limit_us / READS_PER_CHANGE_LIMIT,
                                READ_INTERVAL_MIN_US, READ_INTERVAL_MAX_US),
@@ -533,6 +547,7 @@
     .context = host,
   };
   host->record_source = jd_record_source_new (&source);
+  apply_runtime_settings (host, settings);
 }
 
 /* Creates a host and opens its sockets. Returns NULL with `error` set if one fails. */
--- a/src/daemons/host.h
+++ b/src/daemons/host.h
@@ -45,5 +45,6 @@
 
 jd_replica_registry_t *jd_host_registry (jd_host_t *host);
 jd_record_feed_t *jd_host_feed (jd_host_t *host);
+void jd_host_on_new_generation (jd_host_t *host);
 void jd_host_set_routes (jd_host_t *host, jd_route_table_t *table);
 void jd_host_on_store_read (jd_host_t *host, bool success, int64_t requested_us);
--- a/src/daemons/host_metrics.c
+++ b/src/daemons/host_metrics.c
@@ -240,7 +240,9 @@
       "%" G_GUINT64_FORMAT "\njackdaw_caller_connections %u\n"
       "jackdaw_configuration_version %" G_GINT64_FORMAT "\n"
       "jackdaw_records_age_seconds %.3f\njackdaw_reads_store %d\n"
-      "jackdaw_removals_held %d\njackdaw_log_lines_lost_total %" G_GUINT64_FORMAT "\n",
+      "jackdaw_removals_held %d\njackdaw_removed_records_held %u\n"
+      "jackdaw_store_generation %u\n"
+      "jackdaw_log_lines_lost_total %" G_GUINT64_FORMAT "\n",
       host->requests.length, host->host_count, jd_replica_registry_count (host->registry),
       faults.hinted, faults.ejected, notices.leaving, notices.paused,
       host->byte_budget.held_bytes, host->byte_budget.limit_bytes,
@@ -252,7 +254,9 @@
       (double)(faults.now_us - jd_record_feed_as_of_us (host->feed)) /
           (double)JD_US_PER_S,
       jd_record_source_reads_store (host->record_source, faults.now_us),
-      held_until_us > faults.now_us, (guint64)jd_log_lost_lines ());
+      held_until_us > faults.now_us, jd_record_feed_held_count (host->feed),
+      jd_record_revision_generation (jd_record_feed_revision (host->feed)),
+      (guint64)jd_log_lost_lines ());
   append_peer_messages (text, host, faults.now_us);
   GString *fields = g_string_new ("Content-Type: text/plain; version=0.0.4\r\n");
   jd_caller_answer (caller, 200, fields, text->str, text->len);
--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -21,10 +21,13 @@
 #define READ_AGE_MAX_INTERVALS 3
 /* Minimum time between a failed read of the store and the next one. */
 #define STORE_RETRY_US (700 * JD_US_PER_MS)
-/* Time after an outage of the store during which removals of records are held. Targets
- * whose records expired write them again within about 2 s of its end; the rest covers the
+/* Least time for which removals are held after an outage of the store. Targets whose
+ * records expired write them again within about 2 s of its end; the rest covers the
  * next read of the store and the copy to the other hosts. */
-#define REMOVAL_HOLD_US (2900 * JD_US_PER_MS)
+#define REMOVAL_HOLD_MIN_US (2900 * JD_US_PER_MS)
+/* Time for which removals are held without an outage, in percent of the time within which
+ * a removed target must get no more requests. The rest is for reading and copying. */
+#define SHORT_HOLD_PERCENT 40
 /* Longest time between reads during an outage and while removals are held after it. */
 #define RECOVERY_INTERVAL_US (500 * JD_US_PER_MS)
 /* Removals are held after an outage longer than this many heartbeat intervals. A record
@@ -37,6 +40,11 @@
 /* Time that a starting host waits for gossip of other hosts before it reads the store. */
 #define FIRST_READ_DELAY_S 0.05
 
+/* Number of a revision in its generation, and the generation, for log lines. */
+#define REVISION_FORMAT "revision=%" G_GINT64_FORMAT " generation=%u"
+#define REVISION_ARGS(revision)                                                          \
+  jd_record_revision_number (revision), jd_record_revision_generation (revision)
+
 struct jd_record_source
 {
   jd_record_source_options_t options;
@@ -48,6 +56,8 @@
   jd_name_t copy_peer_name;   /* Host that the running or last copy comes from. */
   bool is_store_read_running; /* A read of the store is running. */
   bool store_failed;
+  bool needs_full_copy; /* No copy has been read since the start. Another host may know
+                           more than a store that has returned from an older copy. */
   bool is_store_reader; /* Since the last timer step: FALSE if the host copies from a
                            peer. */
 };
@@ -60,6 +70,39 @@
   return READ_AGE_MAX_INTERVALS * source->options.read_interval_us;
 }
 
+/* Returns the time for which removals are held after an outage of the store: until it has
+ * been stable for long enough to be trusted. */
+static int64_t
+removal_hold_us (const jd_record_source_t *source)
+{
+  return MAX (REMOVAL_HOLD_MIN_US, source->options.store_stable_us);
+}
+
+/* Handles the return of the store from an older copy of its records, which lacks changes
+ * that it had already published. Their writers need some time to publish them again. */
+void
+jd_record_source_on_new_generation (jd_record_source_t *source)
+{
+  jd_record_feed_hold_removals (source->options.feed,
+                                jd_monotonic_us () + removal_hold_us (source));
+}
+
+/* Sets how many removals at a time are believed, as a share of all records, and the
+ * times that decide on it. */
+void
+jd_record_source_apply_limits (jd_record_source_t *source,
+                               const jd_record_source_limits_t *limits)
+{
+  source->options.store_stable_us = limits->store_stable_us;
+  jd_removal_doubt_t doubt = {
+    .max_share = limits->max_removed_share,
+    .unread_max_us = OUTAGE_MIN_HEARTBEATS * source->options.heartbeat_interval_us,
+    .hold_us = removal_hold_us (source),
+    .short_hold_us = limits->drain_limit_us / 100 * SHORT_HOLD_PERCENT,
+  };
+  jd_record_feed_set_doubt (source->options.feed, &doubt);
+}
+
 /* Returns TRUE if this host reads the store and its last read succeeded recently. */
 bool
 jd_record_source_reads_store (const jd_record_source_t *source, int64_t now_us)
@@ -83,9 +126,9 @@
   if (reads_store == source->is_store_reader)
     return;
   source->is_store_reader = reads_store;
-  jd_log_event (G_LOG_LEVEL_INFO, "records_source", "from=%s revision=%" G_GINT64_FORMAT,
+  jd_log_event (G_LOG_LEVEL_INFO, "records_source", "from=%s " REVISION_FORMAT,
                 reads_store ? "store" : "peer",
-                jd_record_feed_revision (source->options.feed));
+                REVISION_ARGS (jd_record_feed_revision (source->options.feed)));
 }
 
 /* Calls on_changed if records have changed since a revision. */
@@ -117,8 +160,8 @@
     }
   if (source->store_failed)
     jd_log_event (G_LOG_LEVEL_INFO, "store_regained",
-                  "revision=%" G_GINT64_FORMAT " lost_ms=%" G_GINT64_FORMAT,
-                  jd_record_feed_revision (source->options.feed),
+                  REVISION_FORMAT " lost_ms=%" G_GINT64_FORMAT,
+                  REVISION_ARGS (jd_record_feed_revision (source->options.feed)),
                   (now_us - source->last_read_us) / JD_US_PER_MS);
   source->store_failed = false;
   source->last_read_us = requested_us;
@@ -198,13 +241,16 @@
   uint32_t count = jd_wire_read_array (&reader, RECORDS_MAX);
   if (!reader.failure && hold_us > 0)
     jd_record_feed_hold_removals (source->options.feed,
-                                  jd_monotonic_us () + MIN (hold_us, REMOVAL_HOLD_US));
+                                  jd_monotonic_us () +
+                                      MIN (hold_us, removal_hold_us (source)));
+  jd_record_feed_begin_batch (source->options.feed);
   GHashTable *keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (uint32_t i = 0; i < count && !reader.failure; i++)
     apply_record (source, &reader, keys);
   const char *failure = reader.failure; /* A string constant; it outlives the reader. */
   if (!failure && is_full)
     jd_record_feed_retain (source->options.feed, keys, revision);
+  jd_record_feed_end_batch (source->options.feed, jd_monotonic_us ());
   if (!failure)
     jd_record_feed_advance (source->options.feed, revision,
                             source->copy_requested_us - age_us);
@@ -233,11 +279,13 @@
   int64_t requested_after = jd_record_feed_revision (source->options.feed);
   if (!apply_copy (source, reply->body))
     return;
+  source->needs_full_copy = false;
   jd_log_event (G_LOG_LEVEL_INFO, "records_copied",
-                "from=%s after=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
+                "from=%s after=%" G_GINT64_FORMAT " " REVISION_FORMAT
                 " bytes=%zu ms=%" G_GINT64_FORMAT,
-                source->copy_peer_name, requested_after,
-                jd_record_feed_revision (source->options.feed), reply->body->len,
+                source->copy_peer_name, jd_record_revision_number (requested_after),
+                REVISION_ARGS (jd_record_feed_revision (source->options.feed)),
+                reply->body->len,
                 (jd_monotonic_us () - source->copy_requested_us) / JD_US_PER_MS);
   notify_changes (source, previous_revision);
 }
@@ -248,7 +296,7 @@
 follow_peer (jd_record_source_t *source, const jd_peer_t *peer)
 {
   jd_record_feed_t *feed = source->options.feed;
-  int64_t revision = jd_record_feed_revision (feed);
+  int64_t revision = source->needs_full_copy ? 0 : jd_record_feed_revision (feed);
   if (revision > 0 && peer->state.changed_revision <= revision)
     {
       jd_record_feed_advance (feed, peer->state.feed_revision,
@@ -282,7 +330,8 @@
       as_of_us > 0 && source->store_failed &&
       now_us - as_of_us > OUTAGE_MIN_HEARTBEATS * source->options.heartbeat_interval_us;
   if (is_long_outage)
-    jd_record_feed_hold_removals (source->options.feed, now_us + REMOVAL_HOLD_US);
+    jd_record_feed_hold_removals (source->options.feed,
+                                  now_us + removal_hold_us (source));
   source->is_store_read_running = true;
   source->options.read_store (source->options.store_context);
 }
@@ -320,7 +369,7 @@
   log_role_change (source, should_read);
   if (should_read)
     read_store (source, now_us);
-  if (peer && (!should_read || source->store_failed))
+  if (peer && (!should_read || source->store_failed || source->needs_full_copy))
     follow_peer (source, peer);
   timer->repeat =
       (double)next_step_in_us (source, should_read, now_us) / (double)JD_US_PER_S;
@@ -333,7 +382,7 @@
 jd_record_source_on_peer_state (jd_record_source_t *source)
 {
   int64_t now_us = jd_monotonic_us ();
-  if (jd_record_source_reads_store (source, now_us))
+  if (jd_record_source_reads_store (source, now_us) && !source->needs_full_copy)
     return;
   const jd_peer_t *peer = jd_peer_table_best_source (
       source->options.peers, jd_record_feed_revision (source->options.feed),
@@ -348,6 +397,7 @@
 {
   jd_record_source_t *source = g_new0 (jd_record_source_t, 1);
   source->options = *options;
+  source->needs_full_copy = !options->is_first_start;
   source->client = jd_http_client_new (options->loop, COPY_BYTES_MAX);
   ev_timer_init (&source->timer, on_timer, FIRST_READ_DELAY_S,
                  (double)options->read_interval_us / (double)JD_US_PER_S);
--- a/src/daemons/record_source.h
+++ b/src/daemons/record_source.h
@@ -16,9 +16,12 @@
   jd_record_feed_t *feed;
   jd_peer_table_t *peers;
   uint16_t peer_port;
-  int64_t max_age_us; /* Records that are older may lack changes that have to apply. */
+  bool is_first_start; /* All hosts start for the first time and know nothing yet. */
+  int64_t max_age_us;  /* Records that are older may lack changes that have to apply. */
   int64_t read_interval_us;      /* Time between two reads. */
   int64_t heartbeat_interval_us; /* Time between two writes of a target's record. */
+  int64_t store_stable_us; /* Time after an outage until the store is trusted again; see
+                              jd_record_source_apply_limits. */
   void (*read_store) (void *context);
   void *store_context;
   /* Called when records have changed and after each successful read of the store, so that
@@ -27,10 +30,22 @@
   void *context;
 } jd_record_source_options_t;
 
+/* Limits that decide which removals of records are believed at once. */
+typedef struct jd_record_source_limits
+{
+  double max_removed_share; /* Share of the records that may vanish at a time; 1: all. */
+  int64_t store_stable_us;  /* Time after an outage until the store is trusted again. */
+  int64_t drain_limit_us;   /* Time within which a removed target must get no more
+                               requests. */
+} jd_record_source_limits_t;
+
 jd_record_source_t *jd_record_source_new (const jd_record_source_options_t *options);
 void jd_record_source_free (jd_record_source_t *source);
 void jd_record_source_on_store_read (jd_record_source_t *source, bool success,
                                      int64_t requested_us);
+void jd_record_source_on_new_generation (jd_record_source_t *source);
+void jd_record_source_apply_limits (jd_record_source_t *source,
+                                    const jd_record_source_limits_t *limits);
 void jd_record_source_on_peer_state (jd_record_source_t *source);
 bool jd_record_source_is_current (const jd_record_source_t *source, int64_t now_us);
 bool jd_record_source_reads_store (const jd_record_source_t *source, int64_t now_us);
--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log_event.h"
+#include "membership/record_revision.h"
 
 /* A host is live for this long after its last message, or for LIVE_INTERVALS intervals of
  * its messages if that is longer, so that one may be lost. */
@@ -349,7 +350,8 @@
 }
 
 /* Returns the host to copy records from, or NULL if there is none: a live host that reads
- * the store, is not leaving and has records at most max_age_us old. Prefers one
+ * the store, is not leaving and has records at most max_age_us old, of no earlier
+ * generation of the store than this host's. Prefers one of a later generation, then one
  * that has all changes after own_revision, then one of this zone, then one with more
  * recent records. The result is valid until the table changes. */
 const jd_peer_t *
@@ -358,6 +360,7 @@
 {
   const jd_peer_t *best = NULL;
   int64_t best_cost_us = INT64_MAX;
+  uint32_t own_generation = jd_record_revision_generation (own_revision);
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, table->by_ip);
@@ -368,12 +371,14 @@
           !peer->state.reads_store)
         continue;
       int64_t age_us = peer->state.feed_age_us + now_us - peer->last_message_us;
-      if (age_us >= max_age_us)
+      uint32_t generation = jd_record_revision_generation (peer->state.feed_revision);
+      if (age_us >= max_age_us || generation < own_generation)
         continue;
       bool is_same_zone = strcmp (peer->state.zone, table->own_zone) == 0;
       bool has_changes = own_revision >= peer->state.tombstones_since;
       int64_t cost_us = age_us / 4 + (is_same_zone ? 0 : max_age_us) +
-                        (has_changes ? 0 : 2 * max_age_us);
+                        (has_changes ? 0 : 2 * max_age_us) -
+                        (generation > own_generation ? 4 * max_age_us : 0);
       if (cost_us >= best_cost_us)
         continue;
       best = peer;
--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -1,8 +1,14 @@
 #include "membership/record_feed.h"
 
+#include "base/clock.h"
+#include "base/log_event.h"
+
 /* If there are more tombstones of removed records, the older half is dropped, and a host
  * whose records are older than those copies all records. */
 #define MAX_TOMBSTONES 4096
+/* Removals of batches within this time count together, because a host reads what expired
+ * during an outage in several answers of the store. */
+#define REMOVALS_TOGETHER_US (2 * JD_US_PER_S)
 
 struct jd_record_feed
 {
@@ -14,6 +20,10 @@
   int64_t changed_revision; /* Revision of the last change that matters to hosts. */
   int64_t hold_until_us;    /* Removals take effect at this time; 0: at once. */
   GHashTable *held;         /* key -> value of a removed record that is still in effect */
+  jd_removal_doubt_t doubt;
+  bool is_batch;            /* Removals are held until the end of the batch. */
+  uint32_t recent_removals; /* Doubtful removals since recent_since_us. */
+  int64_t recent_since_us;
   int64_t tombstones_since; /* All removals after this revision have tombstones. */
 };
 
@@ -23,8 +33,8 @@
 {
   jd_feed_item_t *item = data;
   g_free (item->key);
-  if (item->value)
-    g_bytes_unref (item->value);
+  g_clear_pointer (&item->value, g_bytes_unref);
+  g_clear_pointer (&item->last_value, g_bytes_unref);
   g_free (item);
 }
 
@@ -44,6 +54,7 @@
   feed->events = *events;
   feed->by_key = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_item);
   feed->held = new_held_table ();
+  feed->doubt.max_share = 1.0;
   return feed;
 }
 
@@ -70,29 +81,74 @@
   return item;
 }
 
+/* Replaces a reference to a value by one to another value, which may be NULL. */
+static void
+set_value (GBytes **reference, GBytes *value)
+{
+  if (value)
+    g_bytes_ref (value);
+  if (*reference)
+    g_bytes_unref (*reference);
+  *reference = value;
+}
+
+/* Returns TRUE if another host knows more of a record at the revision at which this one
+ * knows a value. Two hosts differ at a revision only if the store has returned from an
+ * older copy, and one of them knows what was written after that copy was made. */
+static bool
+is_known_better (const jd_record_feed_t *feed, const jd_feed_item_t *item, GBytes *listed,
+                 int64_t revision)
+{
+  return revision == item->revision && item->value && feed->events.is_newer &&
+         feed->events.is_newer (feed->events.context, item->key, item->value, listed);
+}
+
+/* Returns TRUE if a listed value is one that the store had before what this host knows of
+ * the record: the store returned from an older copy, and the writer of the record has not
+ * written it again yet. */
+static bool
+is_from_older_copy (const jd_record_feed_t *feed, const jd_feed_item_t *item,
+                    GBytes *listed, int64_t revision)
+{
+  GBytes *known = item->value ? item->value : item->last_value;
+  return known && feed->events.is_newer &&
+         jd_record_revision_generation (revision) >
+             jd_record_revision_generation (item->revision) &&
+         !feed->events.is_newer (feed->events.context, item->key, known, listed);
+}
+
 /* Applies the value of a record at a revision and adds a reference to it. Returns TRUE
  * if the change matters to other hosts. Ignores a revision that is not newer than the
  * stored one. A record that returns after its removal matters to other hosts even if its
- * removal has not taken effect on this one. */
+ * removal has not taken effect on this one. A value from an older copy of the store
+ * changes nothing but the revision, so that other hosts copy what this one knows. */
 bool
 jd_record_feed_put (jd_record_feed_t *feed, const char *key, GBytes *value,
                     int64_t revision)
 {
   jd_feed_item_t *item = find_item (feed, key);
-  if (revision <= item->revision)
+  if (revision <= item->revision && !is_known_better (feed, item, value, revision))
     return false;
   GBytes *held_value = g_hash_table_lookup (feed->held, key);
   GBytes *old_value = held_value ? held_value : item->value;
   bool is_same =
       old_value && feed->events.is_same (feed->events.context, key, old_value, value);
   if (is_same && !held_value)
-    return false;
+    {
+      /* Later comparisons need the newest heartbeat counter. */
+      set_value (&item->value, value);
+      return false;
+    }
+  if (is_from_older_copy (feed, item, value, revision))
+    {
+      item->revision = revision;
+      feed->changed_revision = MAX (feed->changed_revision, revision);
+      return true;
+    }
   if (!item->value && item->revision >= 0)
     feed->tombstone_count--;
-  g_bytes_ref (value);
-  if (item->value)
-    g_bytes_unref (item->value);
-  item->value = value;
+  set_value (&item->value, value);
+  set_value (&item->last_value, NULL);
   item->revision = revision;
   feed->changed_revision = MAX (feed->changed_revision, revision);
   g_hash_table_remove (feed->held, key);
@@ -153,6 +209,22 @@
   feed->tombstones_since = MAX (feed->tombstones_since, dropped_revision);
 }
 
+/* Returns how the removal of a record with a value is handled. */
+static jd_removal_handling_t
+judge_removal (const jd_record_feed_t *feed, const char *key, GBytes *value)
+{
+  return feed->events.judge_removal
+             ? feed->events.judge_removal (feed->events.context, key, value)
+             : JD_REMOVAL_DOUBT;
+}
+
+/* Returns the number of records that are not removed. */
+static uint32_t
+count_records (const jd_record_feed_t *feed)
+{
+  return g_hash_table_size (feed->by_key) - feed->tombstone_count;
+}
+
 /* Applies the removal of a record at a revision. Other hosts can copy it at once; on this
  * host it takes effect when removals are no longer held. The removal of an unknown record
  * is kept for other hosts, which may have the record. */
@@ -160,17 +232,31 @@
 jd_record_feed_remove (jd_record_feed_t *feed, const char *key, int64_t revision)
 {
   jd_feed_item_t *item = find_item (feed, key);
-  if (revision <= item->revision)
+  /* A removal at the revision of a value is that of a host that knows more, see
+   * is_known_better (). */
+  bool is_known_by_other = revision == item->revision && item->value;
+  if (revision <= item->revision && !is_known_by_other)
     return;
+  jd_removal_handling_t handling =
+      item->value ? judge_removal (feed, key, item->value) : JD_REMOVAL_APPLY;
+  feed->changed_revision = MAX (feed->changed_revision, revision);
+  if (handling == JD_REMOVAL_IGNORE)
+    {
+      item->revision = revision;
+      return;
+    }
   bool is_known_removal = !item->value && item->revision >= 0;
   GBytes *value = item->value;
   item->value = NULL;
   item->revision = revision;
-  feed->changed_revision = MAX (feed->changed_revision, revision);
   if (!is_known_removal)
     feed->tombstone_count++;
-  if (value && feed->hold_until_us > 0)
+  if (value)
+    set_value (&item->last_value, value);
+  if (value && handling == JD_REMOVAL_DOUBT &&
+      (feed->is_batch || feed->hold_until_us > 0))
     {
+      feed->recent_removals += feed->is_batch;
       g_hash_table_insert (feed->held, g_strdup (key), value);
     }
   else if (value)
@@ -181,6 +267,76 @@
   trim_tombstones (feed);
 }
 
+/* Sets how many removals at a time are believed, and how long others are held. */
+void
+jd_record_feed_set_doubt (jd_record_feed_t *feed, const jd_removal_doubt_t *doubt)
+{
+  feed->doubt = *doubt;
+}
+
+/* Starts a batch: removals take effect, or are held, at its end, when their number is
+ * known. A batch that was not ended goes on. */
+void
+jd_record_feed_begin_batch (jd_record_feed_t *feed)
+{
+  feed->is_batch = true;
+}
+
+/* Applies the held removals that need not be held any longer: all of them, or those of
+ * records whose removal is no longer doubted. */
+static void
+apply_held_removals (jd_record_feed_t *feed, bool all)
+{
+  GPtrArray *keys = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer key, value;
+  g_hash_table_iter_init (&iter, feed->held);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      if (!all && judge_removal (feed, key, value) == JD_REMOVAL_DOUBT)
+        continue;
+      g_ptr_array_add (keys, g_strdup (key));
+      g_hash_table_iter_remove (&iter);
+    }
+  for (guint i = 0; i < keys->len; i++)
+    feed->events.on_change (feed->events.context, keys->pdata[i], NULL);
+  g_ptr_array_free (keys, TRUE);
+}
+
+/* Ends a batch. Its removals take effect unless removals are held already, or so many
+ * records have been removed that an error of the store is more likely; those are held.
+ * Call before jd_record_feed_advance, so that the age of the records is known. */
+void
+jd_record_feed_end_batch (jd_record_feed_t *feed, int64_t now_us)
+{
+  feed->is_batch = false;
+  uint32_t held_count = g_hash_table_size (feed->held);
+  if (now_us - feed->recent_since_us > REMOVALS_TOGETHER_US)
+    {
+      feed->recent_since_us = now_us;
+      feed->recent_removals = feed->hold_until_us > 0 ? 0 : held_count;
+    }
+  if (feed->hold_until_us > 0 || held_count == 0)
+    return;
+  jd_removal_batch_t batch = {
+    .removed = feed->recent_removals,
+    .records = count_records (feed) + feed->recent_removals,
+    .unread_us = feed->as_of_us > 0 ? now_us - feed->as_of_us : 0,
+  };
+  int64_t hold_us = jd_removal_doubt_hold_us (&feed->doubt, &batch);
+  if (hold_us == 0)
+    {
+      apply_held_removals (feed, true);
+      return;
+    }
+  feed->hold_until_us = now_us + hold_us;
+  jd_log_event (G_LOG_LEVEL_WARNING, "removals_doubted",
+                "removed=%u records=%u unread_ms=%" G_GINT64_FORMAT
+                " hold_ms=%" G_GINT64_FORMAT,
+                batch.removed, batch.records, batch.unread_us / JD_US_PER_MS,
+                hold_us / JD_US_PER_MS);
+}
+
 /* Keeps removed records in effect until a time, because records that expired during an
  * outage of the store return when their writers can refresh them again. */
 void
@@ -196,22 +352,29 @@
   return feed->hold_until_us;
 }
 
+/* Returns the number of removed records that are still in effect. */
+uint32_t
+jd_record_feed_held_count (const jd_record_feed_t *feed)
+{
+  return g_hash_table_size (feed->held);
+}
+
 /* Applies the held removals of records that have not returned, if their hold time is
- * over. */
+ * over; before that, those whose removal is no longer doubted. */
 void
 jd_record_feed_release_removals (jd_record_feed_t *feed, int64_t now_us)
 {
-  if (feed->hold_until_us == 0 || now_us < feed->hold_until_us)
+  if (feed->hold_until_us == 0)
     return;
-  feed->hold_until_us = 0;
-  GHashTable *removed = feed->held;
-  feed->held = new_held_table ();
-  GHashTableIter iter;
-  gpointer key;
-  g_hash_table_iter_init (&iter, removed);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    feed->events.on_change (feed->events.context, key, NULL);
-  g_hash_table_destroy (removed);
+  bool is_over = now_us >= feed->hold_until_us;
+  if (is_over)
+    {
+      feed->hold_until_us = 0;
+      if (g_hash_table_size (feed->held) > 0)
+        jd_log_event (G_LOG_LEVEL_INFO, "removals_applied", "removed=%u",
+                      g_hash_table_size (feed->held));
+    }
+  apply_held_removals (feed, is_over);
 }
 
 /* Removes all records whose keys are not in a set, after a full read at a revision.
@@ -239,10 +402,14 @@
 }
 
 /* Records that the feed is complete up to a revision and was current at a time. Neither
- * goes back. */
+ * goes back. A revision of an earlier generation than the feed's says nothing about its
+ * records. */
 void
 jd_record_feed_advance (jd_record_feed_t *feed, int64_t revision, int64_t as_of_us)
 {
+  if (jd_record_revision_generation (revision) <
+      jd_record_revision_generation (feed->revision))
+    return;
   feed->revision = MAX (feed->revision, revision);
   feed->as_of_us = MAX (feed->as_of_us, as_of_us);
 }
--- a/src/membership/record_feed.h
+++ b/src/membership/record_feed.h
@@ -4,18 +4,30 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "membership/record_revision.h"
+#include "membership/removal_doubt.h"
+
 /* A published record, or the tombstone of a removed one. */
 typedef struct jd_feed_item
 {
   char *key;
-  GBytes *value;    /* NULL for a removed record. */
-  int64_t revision; /* Revision of the last change that matters to hosts. */
+  GBytes *value;      /* NULL for a removed record. */
+  GBytes *last_value; /* Value before the removal; NULL: unknown, or not removed. */
+  int64_t revision;   /* Position of the last change that matters to hosts. */
 } jd_feed_item_t;
 
 /* The published records that this host has, and the time at which they were current.
  * Hosts copy the changes after a revision from each other. */
 typedef struct jd_record_feed jd_record_feed_t;
 
+/* How the removal of a record is handled. */
+typedef enum jd_removal_handling
+{
+  JD_REMOVAL_APPLY,  /* It takes effect at once. */
+  JD_REMOVAL_DOUBT,  /* It may be an error of the store, and is held if that is likely. */
+  JD_REMOVAL_IGNORE, /* The record stays in force. */
+} jd_removal_handling_t;
+
 typedef struct jd_feed_events
 {
   /* Returns TRUE if two values of a key are equivalent for hosts, for example because
@@ -23,6 +35,13 @@
   bool (*is_same) (void *context, const char *key, GBytes *before, GBytes *after);
   /* Called when a record is added, changed or removed (value is NULL). */
   void (*on_change) (void *context, const char *key, GBytes *value);
+  /* Returns FALSE if the writer of a record wrote `listed` before `known`, or if both are
+   * the same write. Used when the store has returned from an older copy. NULL: listed
+   * values are newer. */
+  bool (*is_newer) (void *context, const char *key, GBytes *known, GBytes *listed);
+  /* Returns how the removal of a record with a value is handled now; called again while
+   * the removal is held. NULL: JD_REMOVAL_DOUBT for all records. */
+  jd_removal_handling_t (*judge_removal) (void *context, const char *key, GBytes *value);
   void *context;
 } jd_feed_events_t;
 
@@ -31,8 +50,12 @@
 bool jd_record_feed_put (jd_record_feed_t *feed, const char *key, GBytes *value,
                          int64_t revision);
 void jd_record_feed_remove (jd_record_feed_t *feed, const char *key, int64_t revision);
+void jd_record_feed_set_doubt (jd_record_feed_t *feed, const jd_removal_doubt_t *doubt);
+void jd_record_feed_begin_batch (jd_record_feed_t *feed);
+void jd_record_feed_end_batch (jd_record_feed_t *feed, int64_t now_us);
 void jd_record_feed_hold_removals (jd_record_feed_t *feed, int64_t until_us);
 int64_t jd_record_feed_removals_held_until_us (const jd_record_feed_t *feed);
+uint32_t jd_record_feed_held_count (const jd_record_feed_t *feed);
 void jd_record_feed_release_removals (jd_record_feed_t *feed, int64_t now_us);
 void jd_record_feed_retain (jd_record_feed_t *feed, GHashTable *keys, int64_t revision);
 void jd_record_feed_advance (jd_record_feed_t *feed, int64_t revision, int64_t as_of_us);
--- a/test/process/test_record_source.c
+++ b/test/process/test_record_source.c
@@ -129,6 +129,139 @@
   jd_host_fixture_close (&fixture);
 }
 
+/* Returns the number of searches that get no answer in some seconds, by turns at all
+ * hosts. */
+static uint32_t
+count_failed_searches (jd_host_fixture_t *fixture, double seconds)
+{
+  static uint32_t count;
+  uint32_t failed_count = 0;
+  int64_t end_us = jd_monotonic_us () + (int64_t)(seconds * (double)JD_US_PER_S);
+  while (jd_monotonic_us () < end_us)
+    {
+      char *text = g_strdup_printf (
+          "GET /search/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: s-%u\r\n"
+          "X-Deadline-Ms: 1500\r\n" JD_HOST_FIXTURE_KEY "\r\n",
+          count);
+      jd_host_fixture_reply_t *reply =
+          jd_host_fixture_call (fixture, count++ % MAX (fixture->host_count, 1), text);
+      failed_count += reply->status != 200;
+      jd_host_fixture_reply_free (reply);
+      g_free (text);
+      jd_host_fixture_run (fixture, 0.02);
+    }
+  return failed_count;
+}
+
+static void
+publish_all_targets (jd_host_fixture_t *fixture)
+{
+  for (uint32_t i = 0; i < fixture->target_count; i++)
+    jd_host_fixture_publish_target (fixture, i, "ready");
+}
+
+/* Guards against hosts that refuse callers although all targets answer, because the
+ * records of the targets expired while the store was away. On lumeira-cu-grown, an outage
+ * of 3 s had 76 of 114 callers refused: hosts that read the store for the first time
+ * after it had not failed themselves, and took the removals for news. */
+static void
+expired_records_take_no_live_target_away (void)
+{
+  static const struct
+  {
+    double outage_s;
+    double back_after_s; /* Time until targets have written themselves again. */
+  } cases[] = { { 0.0, 0.8 }, { 2.0, 2.0 }, { 3.6, 2.0 } };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      static jd_host_fixture_t fixture;
+      fixture = (jd_host_fixture_t){ .has_one_zone = true };
+      jd_host_fixture_open (&fixture, 3, SHARDS);
+      for (uint32_t k = 0; k < fixture.host_count; k++)
+        CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, k, 5.0));
+      CU_ASSERT_EQUAL (count_failed_searches (&fixture, 0.5), 0);
+      if (cases[i].outage_s > 0.0)
+        jd_published_store_set_mode (fixture.store, JD_STORE_SILENT);
+      jd_published_store_remove_all (fixture.store, "servers/");
+      uint32_t failed_count = count_failed_searches (&fixture, cases[i].outage_s);
+      jd_published_store_set_mode (fixture.store, JD_STORE_SERVES);
+      failed_count += count_failed_searches (&fixture, cases[i].back_after_s);
+      publish_all_targets (&fixture);
+      failed_count += count_failed_searches (&fixture, 2.5);
+      printf ("%.1f s: %u failed ", cases[i].outage_s, failed_count);
+      CU_ASSERT_EQUAL (failed_count, 0);
+      jd_host_fixture_close (&fixture);
+    }
+}
+
+/* Guards against a host that keeps targets whose records do not return. */
+static void
+expired_records_that_do_not_return_are_removed (void)
+{
+  static jd_host_fixture_t fixture = { .has_one_zone = true };
+  jd_host_fixture_open (&fixture, 1, SHARDS);
+  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, 0, 5.0));
+  CU_ASSERT_EQUAL (count_failed_searches (&fixture, 0.3), 0);
+  jd_published_store_remove_all (fixture.store, "servers/");
+  jd_host_fixture_run (&fixture, 4.0);
+  CU_ASSERT_TRUE (count_failed_searches (&fixture, 0.3) > 0);
+  jd_host_fixture_close (&fixture);
+}
+
+/* Guards against a withdrawn key that works again, against a target that left and is used
+ * again, and against hosts that stay on their records for ever, when the store returns
+ * from an older copy: its revisions are lower than those that hosts know. */
+static void
+older_copy_of_the_store_takes_nothing_back (void)
+{
+  static jd_host_fixture_t fixture = { .has_one_zone = true };
+  jd_host_fixture_open (&fixture, 2, SHARDS);
+  for (uint32_t i = 0; i < fixture.host_count; i++)
+    CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, i, 5.0));
+  publish_guest_key (&fixture, true);
+  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 200, 3 * JD_US_PER_S) < INT64_MAX);
+  jd_published_store_keep_copy (fixture.store);
+  publish_guest_key (&fixture, false);
+  jd_host_fixture_publish_target (&fixture, 0, NULL);
+  for (int i = 0; i < 40; i++)
+    jd_published_store_put (fixture.store, "op/other", "{}");
+  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 401, 3 * JD_US_PER_S) < INT64_MAX);
+  CU_ASSERT_EQUAL (count_failed_searches (&fixture, 0.3), 0);
+  jd_published_store_restore_copy (fixture.store);
+  /* Until the operator writes again, also on a host that starts meanwhile, as soon as it
+   * has heard of another one. */
+  jd_host_fixture_run (&fixture, 2.0);
+  CU_ASSERT_EQUAL (status_with_guest_key (&fixture), 401);
+  jd_host_fixture_stop_host (&fixture, COPIER, SIGKILL);
+  fixture.first_start = false;
+  jd_host_fixture_start_host (&fixture, COPIER);
+  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, COPIER, 5.0));
+  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 401, JD_US_PER_S) < INT64_MAX);
+  publish_all_targets (&fixture);
+  publish_guest_key (&fixture, true);
+  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 200, CONFIG_LIMIT_US) < INT64_MAX);
+  publish_guest_key (&fixture, false);
+  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 401, CONFIG_LIMIT_US) < INT64_MAX);
+  jd_host_fixture_close (&fixture);
+}
+
+/* Guards against hosts that lose their configuration and targets to a store that returns
+ * without any record. */
+static void
+empty_store_takes_nothing_away (void)
+{
+  static jd_host_fixture_t fixture = { .has_one_zone = true };
+  jd_host_fixture_open (&fixture, 2, SHARDS);
+  for (uint32_t i = 0; i < fixture.host_count; i++)
+    CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, i, 5.0));
+  jd_published_store_remove_all (fixture.store, "");
+  jd_published_store_discard_history (fixture.store);
+  CU_ASSERT_EQUAL (count_failed_searches (&fixture, 1.0), 0);
+  publish_all_targets (&fixture);
+  CU_ASSERT_EQUAL (count_failed_searches (&fixture, 3.0), 0);
+  jd_host_fixture_close (&fixture);
+}
+
 int
 main (void)
 {
@@ -137,6 +270,13 @@
       changes_apply_in_time_after_the_reader_is_killed },
     { "old configuration denies no request", old_configuration_denies_no_request },
     { "burst of changes does not delay others", burst_of_changes_does_not_delay_others },
+    { "expired records take no live target away",
+      expired_records_take_no_live_target_away },
+    { "expired records that do not return are removed",
+      expired_records_that_do_not_return_are_removed },
+    { "older copy of the store takes nothing back",
+      older_copy_of_the_store_takes_nothing_back },
+    { "empty store takes nothing away", empty_store_takes_nothing_away },
   };
   return JD_TEST_RUN ("record_source", cases);
 }
--- a/test/stand_ins/published_store.c
+++ b/test/stand_ins/published_store.c
@@ -28,6 +28,9 @@
   GPtrArray *history; /* jd_stored_event_t, oldest first */
   int64_t revision;
   int64_t discarded_revision; /* The history has no changes up to this revision. */
+  uint32_t generation;        /* Rises when the store returns from an older copy. */
+  GPtrArray *copy;            /* jd_stored_event_t, the records of the copy; NULL: none */
+  int64_t copied_revision;    /* Revision at which the copy was made. */
   jd_store_mode_t mode;
   uint32_t calls;
 };
@@ -91,6 +94,75 @@
   g_ptr_array_add (store->history, event_new (key, NULL, store->revision));
 }
 
+/* Collects the keys of all records in a list of strings. */
+static gboolean
+collect_key (gpointer key, gpointer value, gpointer data)
+{
+  g_ptr_array_add (data, g_strdup (key));
+  return FALSE;
+}
+
+/* Removes all records whose keys start with a prefix, as if their leases ran out. */
+void
+jd_published_store_remove_all (jd_published_store_t *store, const char *prefix)
+{
+  GPtrArray *keys = g_ptr_array_new_with_free_func (g_free);
+  g_tree_foreach (store->items, collect_key, keys);
+  for (guint i = 0; i < keys->len; i++)
+    {
+      if (g_str_has_prefix (keys->pdata[i], prefix))
+        jd_published_store_remove (store, keys->pdata[i]);
+    }
+  g_ptr_array_free (keys, TRUE);
+}
+
+static jd_stored_event_t *
+event_copy (const jd_stored_event_t *event)
+{
+  jd_stored_event_t *copy = event_new (event->key, event->value, event->revision);
+  copy->item_text = g_strdup (event->item_text);
+  return copy;
+}
+
+/* Adds a copy of a record to a list. */
+static gboolean
+copy_record (gpointer key, gpointer value, gpointer data)
+{
+  g_ptr_array_add (data, event_copy (value));
+  return FALSE;
+}
+
+/* Makes a copy of all records, which replaces an earlier copy. */
+void
+jd_published_store_keep_copy (jd_published_store_t *store)
+{
+  g_clear_pointer (&store->copy, g_ptr_array_unref);
+  store->copy = g_ptr_array_new_with_free_func (event_free);
+  store->copied_revision = store->revision;
+  g_tree_foreach (store->items, copy_record, store->copy);
+}
+
+/* Returns from the copy: what was written since is lost, and its revisions are given out
+ * again. A client that requests the changes after a lost revision gets 410. */
+void
+jd_published_store_restore_copy (jd_published_store_t *store)
+{
+  g_assert (store->copy);
+  g_tree_remove_all (store->items);
+  for (guint i = 0; i < store->copy->len; i++)
+    {
+      jd_stored_event_t *event = event_copy (store->copy->pdata[i]);
+      g_tree_replace (store->items, event->key, event);
+    }
+  while (store->history->len > 0 &&
+         ((jd_stored_event_t *)store->history->pdata[store->history->len - 1])->revision >
+             store->copied_revision)
+    g_ptr_array_remove_index (store->history, store->history->len - 1);
+  store->revision = store->copied_revision;
+  store->discarded_revision = MIN (store->discarded_revision, store->revision);
+  store->generation++;
+}
+
 /* Discards the history. A client that requests the changes after an earlier revision gets
  * 410 and has to read all records again. */
 void
@@ -196,10 +268,12 @@
 }
 
 static void
-send_json (jd_caller_t *caller, uint32_t status, json_t *object)
+send_json (const jd_published_store_t *store, jd_caller_t *caller, uint32_t status,
+           json_t *object)
 {
   GString *text = render (object, json_object_get (object, "items") ? "items" : "events");
   GString *fields = g_string_new ("Content-Type: application/json\r\n");
+  g_string_append_printf (fields, "Store-Era: %u\r\n", store->generation);
   jd_caller_answer (caller, status, fields, text->str, text->len);
   g_string_free (fields, TRUE);
   g_string_free (text, TRUE);
@@ -216,7 +290,7 @@
   json_object_set_new (object, "items", page.items);
   json_object_set_new (object, "truncated", json_boolean (page.truncated));
   json_object_set_new (object, "asOf", json_integer (store->revision));
-  send_json (caller, 200, object);
+  send_json (store, caller, 200, object);
   g_free (after);
 }
 
@@ -228,9 +302,9 @@
   int64_t after = after_text ? g_ascii_strtoll (after_text, NULL, 10) : 0;
   g_free (after_text);
   json_t *object = json_object ();
-  if (after < store->discarded_revision)
+  if (after < store->discarded_revision || after > store->revision)
     {
-      send_json (caller, 410, object);
+      send_json (store, caller, 410, object);
       return;
     }
   json_t *events = json_array ();
@@ -248,7 +322,7 @@
     }
   json_object_set_new (object, "events", events);
   json_object_set_new (object, "asOf", json_integer (as_of));
-  send_json (caller, 200, object);
+  send_json (store, caller, 200, object);
 }
 
 static void
@@ -258,7 +332,7 @@
   store->calls++;
   char *request_target = g_strndup (reader->text->str, reader->request_target_len);
   if (store->mode == JD_STORE_UNAVAILABLE || store->mode == JD_STORE_BUSY)
-    send_json (caller, store->mode == JD_STORE_BUSY ? 429 : 503, json_object ());
+    send_json (store, caller, store->mode == JD_STORE_BUSY ? 429 : 503, json_object ());
   else if (store->mode == JD_STORE_SERVES &&
            g_str_has_prefix (request_target, "/kv-range"))
     answer_page (store, caller, request_target);
@@ -266,7 +340,7 @@
            g_str_has_prefix (request_target, "/kv-watch"))
     answer_changes (store, caller, request_target);
   else if (store->mode == JD_STORE_SERVES)
-    send_json (caller, 404, json_object ());
+    send_json (store, caller, 404, json_object ());
   /* JD_STORE_SILENT sends no answer. */
   g_free (request_target);
 }
@@ -285,6 +359,7 @@
   jd_caller_handler_t handler = { .on_request = handle_request,
                                   .on_disconnect = on_disconnect,
                                   .context = store };
+  store->generation = 1;
   store->server = jd_caller_server_new (loop, &handler);
   store->items = g_tree_new_full (compare_keys, NULL, NULL, event_free);
   store->history = g_ptr_array_new_with_free_func (event_free);
@@ -300,5 +375,6 @@
   jd_caller_server_free (store->server);
   g_tree_destroy (store->items);
   g_ptr_array_free (store->history, TRUE);
+  g_clear_pointer (&store->copy, g_ptr_array_unref);
   g_free (store);
 }
--- a/test/stand_ins/published_store.h
+++ b/test/stand_ins/published_store.h
@@ -27,6 +27,9 @@
 void jd_published_store_put_item (jd_published_store_t *store, const char *key,
                                   const char *item_text);
 void jd_published_store_remove (jd_published_store_t *store, const char *key);
+void jd_published_store_remove_all (jd_published_store_t *store, const char *prefix);
+void jd_published_store_keep_copy (jd_published_store_t *store);
+void jd_published_store_restore_copy (jd_published_store_t *store);
 void jd_published_store_discard_history (jd_published_store_t *store);
 void jd_published_store_set_mode (jd_published_store_t *store, jd_store_mode_t mode);
 uint32_t jd_published_store_call_count (const jd_published_store_t *store);
--- a/test/support/host_lab.c
+++ b/test/support/host_lab.c
@@ -402,9 +402,9 @@
   char *key = g_strdup_printf ("servers/%s", target->id);
   char *value = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\","
-      "\"slots\":4,\"state\":\"%s\",\"coldLeftMs\":%u,\"seq\":1,\"born\":%u}",
+      "\"slots\":4,\"state\":\"%s\",\"coldLeftMs\":%u,\"seq\":%u,\"born\":%u}",
       target->service, target->published_address, target->zone, state ? state : "",
-      target->cold_ms, 1 + target->replacement_count);
+      target->cold_ms, ++target->write_count, 1 + target->replacement_count);
   target->cold_ms = 0;
   if (state)
     jd_published_store_put (fixture->store, key, value);
@@ -419,6 +419,7 @@
 jd_host_fixture_restart_target (jd_host_fixture_t *fixture, uint32_t index)
 {
   fixture->targets[index].replacement_count++;
+  fixture->targets[index].write_count = 0;
   jd_host_fixture_publish_target (fixture, index, "ready");
 }
 
@@ -434,6 +435,7 @@
     jd_relay_reset (target->relay);
   g_snprintf (target->id, sizeof (target->id), "i-%u-%u", index,
               ++target->replacement_count);
+  target->write_count = 0;
   jd_shard_target_set_id (target->target, target->id);
   target->cold_ms = cold_ms;
   jd_host_fixture_publish_target (fixture, index, "ready");
--- a/test/support/host_lab.h
+++ b/test/support/host_lab.h
@@ -44,6 +44,7 @@
   char address[32];           /* Address on which it listens. */
   char published_address[32]; /* Address that its record gives to hosts. */
   uint32_t replacement_count; /* Number of replacements. */
+  uint32_t write_count;       /* Records that this process of it has published. */
   uint32_t cold_ms;           /* Cold time in the next published record; 0 after it. */
   jd_shard_target_t *target;
   jd_relay_t *relay; /* NULL: hosts connect directly. */
--- a/test/unit/test_published_records.c
+++ b/test/unit/test_published_records.c
@@ -297,10 +297,47 @@
   CU_ASSERT_FALSE (is_same ("op/config", "{\"seq\":1}", "{\"seq\":2}"));
 }
 
+/* Guards against a value from an older copy of the store that replaces a newer one, and
+ * against a newer one that is taken for older. */
+static void
+writes_are_ordered_by_their_writers (void)
+{
+  static const struct
+  {
+    const char *key, *known, *listed;
+    bool is_newer;
+  } cases[] = {
+    { "op/config", "{\"version\":7}", "{\"version\":5}", false },
+    { "op/config", "{\"version\":7}", "{\"version\":7}", false },
+    { "op/config", "{\"version\":7}", "{\"version\":9}", true },
+    { "op/config", "{", "{\"version\":1}", true },
+    { "servers/a", "{\"born\":5,\"seq\":9}", "{\"born\":5,\"seq\":8}", false },
+    { "servers/a", "{\"born\":5,\"seq\":9}", "{\"born\":5,\"seq\":9}", false },
+    { "servers/a", "{\"born\":5,\"seq\":9}", "{\"born\":5,\"seq\":10}", true },
+    { "servers/a", "{\"born\":5,\"seq\":9}", "{\"born\":6,\"seq\":1}", true },
+    { "servers/a", "{\"born\":5,\"seq\":9}", "{\"born\":4,\"seq\":99}", false },
+    { "servers/a", "{\"seq\":9}", "{\"seq\":1}", true },
+    { "servers/a", "{\"born\":5,\"seq\":9}", "{\"born\":5}", true },
+    { "op/evacuate/a", "1", "1", true },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GBytes *known = g_bytes_new_static (cases[i].known, strlen (cases[i].known));
+      GBytes *listed = g_bytes_new_static (cases[i].listed, strlen (cases[i].listed));
+      bool is_newer = jd_platform_record_is_newer (NULL, cases[i].key, known, listed);
+      if (is_newer != cases[i].is_newer)
+        printf ("case %zu ", i);
+      CU_ASSERT_EQUAL (is_newer, cases[i].is_newer);
+      g_bytes_unref (known);
+      g_bytes_unref (listed);
+    }
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
+    { "writes are ordered by their writers", writes_are_ordered_by_their_writers },
     { "decodes a valid configuration", decodes_valid_configuration },
     { "ignores unreadable ranks", ignores_unreadable_ranks },
     { "refuses invalid configurations", refuses_invalid_configurations },
--- a/test/unit/test_record_feed.c
+++ b/test/unit/test_record_feed.c
@@ -262,6 +262,199 @@
   jd_record_feed_free (reader);
 }
 
+/* Values of the tests with generations: a letter, then the write counter of the record.
+ */
+static bool
+has_later_counter (void *context, const char *key, GBytes *known, GBytes *listed)
+{
+  const char *left = g_bytes_get_data (known, NULL);
+  const char *right = g_bytes_get_data (listed, NULL);
+  return right[1] > left[1];
+}
+
+static jd_removal_handling_t
+keep_configuration (void *context, const char *key, GBytes *value)
+{
+  return strcmp (key, "configuration") == 0 ? JD_REMOVAL_IGNORE
+         : strcmp (key, "leaving") == 0     ? JD_REMOVAL_APPLY
+                                            : JD_REMOVAL_DOUBT;
+}
+
+static jd_record_feed_t *
+new_guarded_feed (event_counts_t *counts)
+{
+  jd_feed_events_t events = { .is_same = has_same_first_letter,
+                              .on_change = count_change,
+                              .is_newer = has_later_counter,
+                              .judge_removal = keep_configuration,
+                              .context = counts };
+  jd_record_feed_t *feed = jd_record_feed_new (&events);
+  jd_removal_doubt_t doubt = {
+    .max_share = 0.1, .unread_max_us = 2400, .hold_us = 5000, .short_hold_us = 2000
+  };
+  jd_record_feed_set_doubt (feed, &doubt);
+  return feed;
+}
+
+static void
+put_targets (jd_record_feed_t *feed, uint32_t count, int64_t first_revision)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char *key = g_strdup_printf ("target-%u", i);
+      put_record (feed, key, "a1", first_revision + i);
+      g_free (key);
+    }
+}
+
+static void
+remove_targets (jd_record_feed_t *feed, uint32_t count, int64_t first_revision)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char *key = g_strdup_printf ("target-%u", i);
+      jd_record_feed_remove (feed, key, first_revision + i);
+      g_free (key);
+    }
+}
+
+/* Guards against hosts that drop all targets whose records expired together while the
+ * store was away, and against ones that hold the removals of single targets. */
+static void
+removals_of_many_records_are_held (void)
+{
+  event_counts_t counts = { 0 };
+  jd_record_feed_t *feed = new_guarded_feed (&counts);
+  put_targets (feed, 100, 1);
+  put_record (feed, "leaving", "a1", 101);
+  jd_record_feed_advance (feed, 101, 1000);
+  jd_record_feed_begin_batch (feed);
+  remove_targets (feed, 5, 110);
+  jd_record_feed_end_batch (feed, 2000);
+  CU_ASSERT_EQUAL (counts.removals, 5);
+  jd_record_feed_advance (feed, 114, 2000);
+  /* Both batches are parts of one loss. */
+  jd_record_feed_begin_batch (feed);
+  remove_targets (feed, 60, 120);
+  jd_record_feed_remove (feed, "leaving", 190);
+  jd_record_feed_end_batch (feed, 7000);
+  jd_record_feed_begin_batch (feed);
+  remove_targets (feed, 90, 200);
+  jd_record_feed_end_batch (feed, 7100);
+  jd_record_feed_advance (feed, 300, 7100);
+  CU_ASSERT_EQUAL (counts.removals, 6);
+  CU_ASSERT_EQUAL (jd_record_feed_held_count (feed), 85);
+  CU_ASSERT_EQUAL (jd_record_feed_removals_held_until_us (feed), 12000);
+  put_record (feed, "target-7", "a2", 301);
+  jd_record_feed_release_removals (feed, 11999);
+  CU_ASSERT_EQUAL (counts.removals, 6);
+  jd_record_feed_release_removals (feed, 12000);
+  CU_ASSERT_EQUAL (counts.removals, 90);
+  CU_ASSERT_EQUAL (jd_record_feed_held_count (feed), 0);
+  jd_record_feed_free (feed);
+}
+
+/* Guards against a configuration that goes back, a key that works again after it was
+ * withdrawn, and a target that is used after it left, when the store returns from an
+ * older copy; and against hosts that follow no change any more, because the revisions of
+ * the copy are lower. */
+static void
+older_copy_takes_nothing_back (void)
+{
+  event_counts_t counts = { 0 };
+  jd_record_feed_t *feed = new_guarded_feed (&counts);
+  int64_t before = jd_record_revision (1, 500), copy = jd_record_revision (2, 300);
+  put_record (feed, "configuration", "c3", before);
+  put_record (feed, "left", "a7", before);
+  put_record (feed, "kept", "a3", before);
+  jd_record_feed_remove (feed, "left", before + 1);
+  jd_record_feed_advance (feed, before + 1, 1000);
+  counts = (event_counts_t){ 0 };
+  /* The copy was made before the last write of each. */
+  jd_record_feed_hold_removals (feed, 9000);
+  put_record (feed, "configuration", "b2", copy);
+  put_record (feed, "left", "a7", copy);
+  GHashTable *keys = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_add (keys, "configuration");
+  g_hash_table_add (keys, "left");
+  jd_record_feed_retain (feed, keys, copy);
+  jd_record_feed_advance (feed, copy, 2000);
+  CU_ASSERT_EQUAL (counts.changes, 0);
+  CU_ASSERT_EQUAL (counts.removals, 0);
+  CU_ASSERT_EQUAL (jd_record_feed_revision (feed), copy);
+  /* Their writers write them again. */
+  put_record (feed, "kept", "a4", copy + 1);
+  put_record (feed, "left", "a8", copy + 2);
+  put_record (feed, "configuration", "d4", copy + 3);
+  CU_ASSERT_EQUAL (counts.changes, 2);
+  jd_record_feed_release_removals (feed, 9000);
+  CU_ASSERT_EQUAL (counts.removals, 0);
+  g_hash_table_destroy (keys);
+  jd_record_feed_free (feed);
+}
+
+/* Guards against a host that takes over the older copy from the store and keeps it,
+ * although another host knows what was written after the copy was made. */
+static void
+hosts_learn_what_the_older_copy_lacks (void)
+{
+  event_counts_t known_counts = { 0 }, started_counts = { 0 };
+  jd_record_feed_t *known = new_guarded_feed (&known_counts);
+  jd_record_feed_t *started = new_guarded_feed (&started_counts);
+  int64_t copy = jd_record_revision (2, 300);
+  put_record (known, "configuration", "c3", jd_record_revision (1, 500));
+  put_record (known, "left", "a7", jd_record_revision (1, 400));
+  jd_record_feed_remove (known, "left", jd_record_revision (1, 501));
+  put_record (known, "configuration", "b2", copy);
+  put_record (known, "left", "a7", copy);
+  jd_record_feed_advance (known, copy, 10);
+  put_record (started, "configuration", "b2", copy);
+  put_record (started, "left", "a7", copy);
+  jd_record_feed_advance (started, copy, 10);
+  jd_record_feed_each_after (known, -1, copy_item, started);
+  CU_ASSERT_EQUAL (started_counts.changes, 3);
+  CU_ASSERT_EQUAL (started_counts.removals, 1);
+  /* The other way round nothing changes. */
+  known_counts = (event_counts_t){ 0 };
+  put_record (known, "configuration", "b2", copy);
+  CU_ASSERT_EQUAL (known_counts.changes, 0);
+  jd_record_feed_free (started);
+  jd_record_feed_free (known);
+}
+
+/* Guards against records that seem to be current because a host says so that has not
+ * heard of the new generation. */
+static void
+earlier_generation_says_nothing (void)
+{
+  event_counts_t counts = { 0 };
+  jd_record_feed_t *feed = new_guarded_feed (&counts);
+  jd_record_feed_advance (feed, jd_record_revision (2, 10), 1000);
+  jd_record_feed_advance (feed, jd_record_revision (1, 900), 5000);
+  CU_ASSERT_EQUAL (jd_record_feed_as_of_us (feed), 1000);
+  CU_ASSERT_EQUAL (jd_record_feed_revision (feed), jd_record_revision (2, 10));
+  put_record (feed, "k", "a1", jd_record_revision (2, 11));
+  put_record (feed, "k", "b9", jd_record_revision (1, 901));
+  CU_ASSERT_EQUAL (counts.changes, 1);
+  jd_record_feed_free (feed);
+}
+
+/* Guards against hosts without a configuration because the store returned empty. */
+static void
+configuration_stays_without_a_record (void)
+{
+  event_counts_t counts = { 0 };
+  jd_record_feed_t *feed = new_guarded_feed (&counts);
+  put_record (feed, "configuration", "c3", 5);
+  jd_record_feed_remove (feed, "configuration", 6);
+  CU_ASSERT_EQUAL (counts.removals, 0);
+  GHashTable *keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  jd_record_feed_each_after (feed, 5, collect_key, keys);
+  CU_ASSERT_TRUE (g_hash_table_contains (keys, "configuration"));
+  g_hash_table_destroy (keys);
+  jd_record_feed_free (feed);
+}
+
 int
 main (void)
 {
@@ -275,6 +468,11 @@
     { "copies miss no removal", copies_miss_no_removal },
     { "removals of unknown records are passed on",
       removals_of_unknown_records_are_passed_on },
+    { "removals of many records are held", removals_of_many_records_are_held },
+    { "older copy takes nothing back", older_copy_takes_nothing_back },
+    { "hosts learn what the older copy lacks", hosts_learn_what_the_older_copy_lacks },
+    { "earlier generation says nothing", earlier_generation_says_nothing },
+    { "configuration stays without a record", configuration_stays_without_a_record },
   };
   return JD_TEST_RUN ("record_feed", cases);
 }
