fix(transport): accept only statuses that the protocol has

Cause: every status below 200 was taken for an interim answer, so that 000, 099 or 20 held the caller until 504 at its deadline; 600 and 999 reached the caller with the target's signature and body; 0200 was taken for 200. The parser accepts any number of digits and other versions of the protocol. Ruled out: the own interface's target client (curl checks status lines). Change: a response must start with "HTTP/1.D" and a status of three digits from 100 to 599, which is not 101, because no upgrade is asked for. Any other start is malformed, like garbled bytes: the attempt ends at once and is retried where that is allowed. The same reader serves answers of the store and of other hosts.

--- a/src/transport/http_reader.c
+++ b/src/transport/http_reader.c
@@ -82,6 +82,9 @@
 {
   jd_http_reader_t *reader = parser->data;
   reader->head_complete = true;
+  if (parser->type == HTTP_RESPONSE &&
+      parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS)
+    return -1;
   if (parser->content_length != UINT64_MAX &&
       parser->content_length > reader->body_limit_bytes && !reader->answers_head_request)
     {
@@ -183,6 +186,7 @@
   reader->body = empty_text (reader->body);
   g_array_set_size (reader->fields, 0);
   reader->request_target_len = 0;
+  reader->status_line_bytes = 0;
   reader->answers_head_request = false;
   reader->in_value = false;
   reader->head_complete = false;
@@ -192,6 +196,32 @@
   reader->error = JD_HTTP_MORE;
 }
 
+/* Checks the start of a response, "HTTP/1.D DDD" and the end of the status, which the
+ * parser reads with less care: it accepts other versions, any number of digits and status
+ * codes that the protocol does not have (RFC 9110, 15). An upgrade (101) is never asked
+ * for. Returns FALSE if the bytes are no start of a response. */
+static bool
+check_status_line (jd_http_reader_t *reader, const char *data, size_t size)
+{
+  static const char pattern[] = "HTTP/1.d sdd ";
+  size_t length = strlen (pattern);
+  for (size_t i = 0; i < size && reader->status_line_bytes < length; i++)
+    {
+      bool is_line_end = data[i] == '\r' || data[i] == '\n';
+      if (reader->status_line_bytes == 0 && is_line_end)
+        continue; /* The parser skips empty lines before a response. */
+      char expected = pattern[reader->status_line_bytes];
+      bool is_last = reader->status_line_bytes + 1U == length;
+      bool matches = expected == 's'   ? data[i] >= '1' && data[i] <= '5'
+                     : expected == 'd' ? g_ascii_isdigit (data[i])
+                                       : data[i] == expected || (is_last && is_line_end);
+      if (!matches)
+        return false;
+      reader->status_line_bytes++;
+    }
+  return true;
+}
+
 /* Parses data up to the end of the message. Stores in used how many bytes belonged to it;
  * the rest belongs to the next message. */
 jd_http_progress_t
@@ -204,6 +234,8 @@
   if (size == 0)
     return JD_HTTP_MORE;
   reader->started = true;
+  if (reader->parser.type == HTTP_RESPONSE && !check_status_line (reader, data, size))
+    return JD_HTTP_MALFORMED;
   *used = http_parser_execute (&reader->parser, &parser_settings, data, size);
   if (reader->complete)
     return JD_HTTP_COMPLETE;
--- a/src/transport/http_reader.h
+++ b/src/transport/http_reader.h
@@ -36,6 +36,7 @@
   uint32_t request_target_len; /* Length of the request target, at the start of text. */
   uint32_t head_limit_bytes;
   uint32_t body_limit_bytes;
+  uint8_t status_line_bytes; /* Bytes of a response's status line that were checked. */
   bool answers_head_request; /* The message answers a HEAD request and has no body. */
   bool in_value;             /* The last header callback was for a value. */
   bool head_complete;
--- a/test/process/test_faulty_answers.c
+++ b/test/process/test_faulty_answers.c
@@ -381,10 +381,82 @@
     }
 }
 
+/* Calls the host and checks that its caller gets no success and soon, and no status that
+ * the protocol does not have. */
+static void
+check_no_answer (jd_faulty_fixture_t *fixture, const char *target, const char *name)
+{
+  int64_t start_us = jd_monotonic_us ();
+  jd_host_fixture_reply_t *reply = call (fixture, target);
+  int64_t elapsed_us = jd_monotonic_us () - start_us;
+  bool is_failure = reply->status == 502 || reply->status == 503;
+  /* Half of the deadline: the attempts end at once, not at the deadline. */
+  bool is_soon = elapsed_us < 400 * JD_US_PER_MS;
+  if (!is_failure || !is_soon)
+    printf ("%s \"%.24s\": status %u after %.0f ms ", target, name, reply->status,
+            (double)elapsed_us / (double)JD_US_PER_MS);
+  CU_ASSERT_TRUE (is_failure && is_soon);
+  jd_host_fixture_reply_free (reply);
+}
+
+/* Guards against an answer with a status that the protocol does not have, such as 000 or
+ * 999, that is passed on to the caller or holds it until its deadline; with and without
+ * the signature, before and after the true answer, from all targets and from one. */
+static void
+odd_statuses_are_no_answers (void)
+{
+  static const char *const lines[] = {
+    "HTTP/1.1 000 OK",  "HTTP/1.1 001 OK",  "HTTP/1.1 099 OK", "HTTP/1.1 101 OK",
+    "HTTP/1.1 600 OK",  "HTTP/1.1 999 OK",  "HTTP/1.1 2 OK",   "HTTP/1.1 20 OK",
+    "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 +200 OK",
+    "HTTP/1.1  200 OK", "HTTP/3.1 200 OK",  "HTTP/1.1 000",    "HTTP/1.1 600",
+  };
+  static const char *const fields[] = { FIELDS, "X-Attempt-Id: $ID\r\n", "" };
+  static jd_faulty_fixture_t fixture;
+  fixture_open (&fixture);
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    {
+      for (size_t k = 0; k < G_N_ELEMENTS (fields); k++)
+        {
+          char *text = g_strdup_printf ("%s\r\n%sContent-Length: 48\r\n\r\n" BODY,
+                                        lines[i], fields[k]);
+          jd_scripted_answer_t answer = { .text = text, .cut_at = SIZE_MAX };
+          set_answers (&fixture, &answer);
+          check_no_answer (&fixture, "/fetch/1", lines[i]);
+          check_no_answer (&fixture, "/search/1", lines[i]);
+          char *before = g_strconcat (text, GOOD_ANSWER, NULL);
+          answer.text = before;
+          set_answers (&fixture, &answer);
+          check_no_answer (&fixture, "/fetch/1", lines[i]);
+          /* One target only: the other one serves the caller. */
+          answer.text = text;
+          set_answers (&fixture, &good_answer);
+          jd_scripted_target_set_answer (fixture.targets[STUDIO], &answer);
+          CU_ASSERT_TRUE (wait_served (&fixture, "/fetch/1"));
+          /* After the true answer, its caller gets the true one alone. */
+          char *after = g_strconcat (GOOD_ANSWER, text, NULL);
+          answer.text = after;
+          set_answers (&fixture, &answer);
+          CU_ASSERT_TRUE (wait_served (&fixture, "/fetch/1"));
+          jd_host_fixture_reply_t *reply = call (&fixture, "/fetch/1");
+          CU_ASSERT_TRUE (reply->status != 200 || reply->body->len == BODY_BYTES);
+          CU_ASSERT_FALSE (reply->has_extra_bytes);
+          jd_host_fixture_reply_free (reply);
+          g_free (before);
+          g_free (after);
+          g_free (text);
+        }
+    }
+  set_answers (&fixture, &good_answer);
+  CU_ASSERT_TRUE (wait_served (&fixture, "/search/1"));
+  fixture_close (&fixture);
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
+    { "odd statuses are no answers", odd_statuses_are_no_answers },
     { "cut answers are no success", cut_answers_are_no_success },
     { "endless answers do not fill the memory", endless_answers_do_not_fill_the_memory },
     { "endless bytes after an answer are discarded",
--- a/test/unit/test_http_reader.c
+++ b/test/unit/test_http_reader.c
@@ -1,5 +1,6 @@
 #include "transport/http_reader.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "base/rng.h"
@@ -142,10 +143,61 @@
     }
 }
 
+/* Guards against answers with a status that the protocol does not have: they were taken
+ * for interim answers, which holds the caller until its deadline, or were passed on. */
+static void
+only_statuses_of_the_protocol_are_accepted (void)
+{
+  static const struct
+  {
+    const char *line;
+    bool is_valid;
+  } cases[] = {
+    { "HTTP/1.1 200 OK", true },   { "HTTP/1.1 200", true },
+    { "HTTP/1.1 200 ", true },     { "HTTP/1.0 404 Not Found", true },
+    { "HTTP/1.1 100", true },      { "HTTP/1.1 103 Early Hints", true },
+    { "HTTP/1.1 299", true },      { "HTTP/1.1 599 x", true },
+    { "HTTP/1.1 000 OK", false },  { "HTTP/1.1 001 OK", false },
+    { "HTTP/1.1 099 OK", false },  { "HTTP/1.1 101 Switching Protocols", false },
+    { "HTTP/1.1 600 OK", false },  { "HTTP/1.1 999 OK", false },
+    { "HTTP/1.1 20 OK", false },   { "HTTP/1.1 2 OK", false },
+    { "HTTP/1.1 0200 OK", false }, { "HTTP/1.1 2000 OK", false },
+    { "HTTP/1.1 -20 OK", false },  { "HTTP/1.1 +200 OK", false },
+    { "HTTP/1.1  200 OK", false }, { "HTTP/1.1 2x0 OK", false },
+    { "HTTP/2.0 200 OK", false },  { "HTTP/0.9 200 OK", false },
+    { "HTTP/1.10 200 OK", false }, { "http/1.1 200 OK", false },
+    { "HTTP/1.1\t200 OK", false }, { "ICY 200 OK", false },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = g_strdup_printf ("%s\r\nContent-Length: 0\r\n\r\n", cases[i].line);
+      /* The answer arrives whole or byte by byte. */
+      for (size_t step = 1; step <= strlen (text); step += strlen (text) - 1)
+        {
+          jd_http_reader_t reader;
+          jd_http_reader_init (&reader, HTTP_RESPONSE, 4096, 4096);
+          jd_http_progress_t progress = JD_HTTP_MORE;
+          for (size_t at = 0; at < strlen (text) && progress == JD_HTTP_MORE; at += step)
+            {
+              size_t used = 0;
+              progress = jd_http_reader_feed (&reader, text + at,
+                                              MIN (step, strlen (text) - at), &used);
+            }
+          if ((progress == JD_HTTP_COMPLETE) != cases[i].is_valid)
+            printf ("%s ", cases[i].line);
+          CU_ASSERT_EQUAL (progress == JD_HTTP_COMPLETE, cases[i].is_valid);
+          jd_http_reader_clear (&reader);
+        }
+      g_free (text);
+    }
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
+    { "only statuses of the protocol are accepted",
+      only_statuses_of_the_protocol_are_accepted },
     { "request is read unaltered from pieces of any size",
       request_is_unaltered_by_pieces },
     { "malformed and too large requests are rejected",
