test(soak): lose records of the store and reject requests with free slots

Cause: the soak knew neither a store whose records expire together or that returns from an older copy, nor targets that reject while free, and it did not check the bound on extra attempts. A search also counts as not servable if a part gets too few attempts (seven) for the share of rejections.

--- a/src/routing/extra_admission.h
+++ b/src/routing/extra_admission.h
@@ -14,6 +14,7 @@
 {
   double extra_attempts; /* That the part needs on average beyond the first one. */
   double available; /* Extra attempts that this host has, or can borrow at its rank. */
+  uint32_t attempts_max; /* Most attempts at the part; 0: no limit. */
 } jd_part_need_t;
 
 /* Rank of a search among those that compete for extra attempts. */
--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -145,6 +145,7 @@
         .extra_attempts = jd_replica_pool_extra_attempts (pool, now_us),
         .available = pool->host_budget.tokens +
                      jd_extra_budget_left (&pool->shared_budget, limit_share, now_us),
+        .attempts_max = JD_FANOUT_ATTEMPTS_MAX,
       };
       expected += jd_extra_admission_expected_parts (&need, 1);
     }
--- a/test/process/test_host.c
+++ b/test/process/test_host.c
@@ -728,6 +728,56 @@
   jd_host_fixture_close (&fixture);
 }
 
+/* Guards against targets that get as many requests as others although they reject them
+ * with free slots, and against searches that are started although their shards cannot
+ * complete them within the bound on extra attempts. */
+static void
+rejecting_targets_are_avoided (void)
+{
+  jd_host_fixture_t fixture = { 0 };
+  jd_host_fixture_open (&fixture, 1, SHARDS);
+  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, 0, 5.0));
+  CU_ASSERT_TRUE (
+      wait_for_status (&fixture, 0, "/search/1", JD_HOST_FIXTURE_KEY, 200, 5.0));
+  const jd_shard_faults_t rejects = { .shed_share = 0.8,
+                                      .sheds_while_free = true,
+                                      .delay_us = 3000 };
+  uint32_t arrivals = 0;
+  /* The first target of the first shard is in the zone of the host, which prefers it. */
+  jd_shard_target_set_faults (fixture.targets[0].target, &rejects);
+  jd_shard_target_set_observer (fixture.targets[0].target, count_arrival, &arrivals);
+  for (int i = 0; i < 40; i++)
+    CU_ASSERT_EQUAL (status_of (&fixture, 0, "/search/1", JD_HOST_FIXTURE_KEY), 200);
+  printf ("%u of 40 arrived ", arrivals);
+  CU_ASSERT_TRUE (arrivals <= 10);
+  const jd_shard_faults_t rejects_most = { .shed_share = 0.95,
+                                           .sheds_while_free = true,
+                                           .delay_us = 3000 };
+  for (uint32_t i = 0; i < 2 * SHARDS; i++)
+    jd_shard_target_set_faults (fixture.targets[i].target, &rejects_most);
+  /* Once the host knows that, it rejects searches at once. */
+  uint32_t refused_count = 0, served_count = 0;
+  for (int i = 0; i < 120; i++)
+    {
+      uint32_t status = status_of (&fixture, 0, "/search/1", JD_HOST_FIXTURE_KEY);
+      served_count += status == 200;
+      refused_count += status == 503;
+    }
+  jd_host_fixture_reply_t *reply = jd_host_fixture_metrics (&fixture, 0);
+  const char *scarce =
+      strstr (reply->body->str, "jackdaw_searches_rejected_scarce_total ");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (scarce);
+  g_assert (scarce != NULL);
+  uint64_t scarce_count = g_ascii_strtoull (strchr (scarce, ' '), NULL, 10);
+  printf ("%u served, %u refused, %" G_GUINT64_FORMAT " of them at once ", served_count,
+          refused_count, scarce_count);
+  CU_ASSERT_TRUE (scarce_count >= 90);
+  CU_ASSERT_TRUE (refused_count >= scarce_count);
+  CU_ASSERT_PTR_NOT_NULL (strstr (reply->body->str, "jackdaw_targets_rejecting "));
+  jd_host_fixture_reply_free (reply);
+  jd_host_fixture_close (&fixture);
+}
+
 int
 main (void)
 {
@@ -749,6 +799,7 @@
     { "tenant rate limit is enforced", tenant_rate_limit_is_enforced },
     { "requests to overloaded targets are rejected",
       requests_to_overloaded_targets_are_rejected },
+    { "rejecting targets are avoided", rejecting_targets_are_avoided },
     { "metrics have kind and zone labels", metrics_have_kind_and_zone_labels },
   };
   return JD_TEST_RUN ("host", cases);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -31,7 +31,13 @@
 #define JD_SOAK_PAUSE_S "1.5"
 #define JD_SOAK_PAUSE_US (1500 * JD_US_PER_MS)
 
-#define JD_SOAK_WINDOW_MAX_EVENTS 128U
+/* Extra arrivals at a service in JD_SOAK_EXTRA_WINDOW_US: this share of its requests,
+ * plus the retry-slack of the settings. */
+#define JD_SOAK_EXTRA_SHARE 0.2
+#define JD_SOAK_EXTRA_SLACK 58.0
+#define JD_SOAK_EXTRA_WINDOW_US (10 * JD_US_PER_S)
+
+#define JD_SOAK_WINDOW_MAX_EVENTS 1024U
 
 /* Times of the latest events, in a ring buffer. */
 typedef struct jd_soak_window
@@ -67,6 +73,7 @@
   jd_soak_key_t key;
   int64_t probed_version;
   uint32_t host_start_number; /* The host's start count when the request was sent. */
+  uint64_t arrived_at;        /* Bit N: it arrived at service N. */
   bool counted_for_rate;      /* Against the rate limit of its tenant. */
   int64_t sent_us;
 } jd_soak_call_t;
@@ -117,9 +124,14 @@
   GArray *published_us; /* When each version of the configuration was published. */
   int64_t guest_key_changed_us;
   jd_soak_window_t club_runs; /* Requests that ran for the tenant with a rate limit. */
+  jd_soak_window_t extra_arrivals[JD_HOST_FIXTURE_TARGETS_MAX / 2]; /* By service. */
   int64_t store_fault_end_us;
+  int64_t store_return_us;  /* When the store returns from its older copy; 0: never. */
+  int64_t writers_us;       /* When lost records are written again; 0: none are lost. */
+  int64_t lapse_started_us; /* Last time at which all records of targets expired. */
   int64_t store_disturbed_us;
   int64_t targets_fault_end_us;
+  int64_t targets_sound_us;   /* When targets last became sound or changed. */
   int64_t links_disturbed_us; /* Latest fault on a link to a target. */
   int64_t withdrawal_end_us;
   int64_t notice_end_us; /* End of what notice_target says about itself; 0: nothing. */
@@ -150,5 +162,7 @@
 void jd_soak_end_withdrawal (jd_soak_t *soak);
 void jd_soak_start_notice (jd_soak_t *soak, uint32_t target, bool is_leaving);
 void jd_soak_end_notice (jd_soak_t *soak);
+void jd_soak_set_target_faults (jd_soak_t *soak, double shed_share,
+                                uint32_t shedding_percent);
 void jd_soak_start_fault (jd_soak_t *soak);
 void jd_soak_end_faults (jd_soak_t *soak);
--- a/test/soak/soak_checks.c
+++ b/test/soak/soak_checks.c
@@ -108,6 +108,57 @@
     }
 }
 
+/* Returns the number of events of a window between two times. */
+static uint32_t
+count_events (const jd_soak_window_t *window, int64_t from_us, int64_t to_us)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < MIN (window->count, JD_SOAK_WINDOW_MAX_EVENTS); i++)
+    count += window->times_us[i] > from_us && window->times_us[i] <= to_us;
+  return count;
+}
+
+/* Returns how many requests callers sent to a service between two times. */
+static uint32_t
+count_requests (const jd_soak_t *soak, uint32_t service, int64_t from_us, int64_t to_us)
+{
+  bool is_shard = service < soak->fixture.shard_count;
+  uint32_t count = 0;
+  for (guint i = soak->calls->len; i > 0; i--)
+    {
+      const jd_soak_call_t *call = soak->calls->pdata[i - 1];
+      if (call->sent_us <= from_us)
+        break;
+      count += call->sent_us <= to_us && (call->kind == JD_SOAK_SEARCH) == is_shard;
+    }
+  return count;
+}
+
+/* Checks that the arrivals of requests beyond the first one at a service, from all hosts,
+ * stay within the bound of the platform. */
+static void
+check_extra_arrival (jd_soak_t *soak, jd_soak_call_t *call, uint32_t service,
+                     int64_t now_us)
+{
+  uint64_t bit = UINT64_C (1) << service;
+  bool is_first = !(call->arrived_at & bit);
+  call->arrived_at |= bit;
+  if (is_first)
+    return;
+  jd_soak_window_t *window = &soak->extra_arrivals[service];
+  window->times_us[window->count++ % JD_SOAK_WINDOW_MAX_EVENTS] = now_us;
+  int64_t start_us = now_us - JD_SOAK_EXTRA_WINDOW_US;
+  uint32_t requests =
+      MAX (count_requests (soak, service, start_us, now_us),
+           count_requests (soak, service, start_us - JD_SOAK_EXTRA_WINDOW_US, start_us));
+  double limit = JD_SOAK_EXTRA_SHARE * requests + JD_SOAK_EXTRA_SLACK;
+  if (jd_soak_injects (soak, "extra_bound"))
+    limit = 0.0;
+  if (count_events (window, start_us, now_us) > limit)
+    jd_soak_report_violation (soak, "extra_bound", call->id,
+                              "more extra attempts than all hosts may make");
+}
+
 /* Observer of the targets: checks a request that arrives at a target. */
 void
 jd_soak_on_arrival (void *context, jd_shard_target_t *shard_target,
@@ -135,6 +186,8 @@
   if (arrival->will_run)
     check_rate (soak, call, now_us);
   check_told (soak, target, call, now_us);
+  /* The two targets of a service are adjacent in the array. */
+  check_extra_arrival (soak, call, index / 2, now_us);
   bool is_undisturbed = now_us - soak->links_disturbed_us >= JD_SOAK_UNDISTURBED_US &&
                         jd_soak_is_undisturbed (soak, call->host, now_us);
   if (is_undisturbed && target->withdrawn_us > 0 &&
@@ -331,6 +384,26 @@
         "a stopping host closed the connection of a request that ran");
 }
 
+/* Checks that no search is refused because records of targets expired while the store was
+ * away: all targets are sound and answer. */
+static void
+check_lapse (jd_soak_t *soak, const jd_soak_call_t *call, uint32_t status)
+{
+  int64_t quiet_since_us = call->sent_us - JD_SOAK_UNDISTURBED_US;
+  bool is_injected = jd_soak_injects (soak, "lapse_refused");
+  bool is_lapse = soak->lapse_started_us > 0 && call->sent_us >= soak->lapse_started_us &&
+                  call->sent_us < soak->store_disturbed_us + JD_SOAK_UNDISTURBED_US;
+  bool is_otherwise_sound =
+      soak->hosts[call->host].last_disturbed_us < quiet_since_us &&
+      !soak->hosts[call->host].stopping && soak->links_disturbed_us < quiet_since_us &&
+      soak->targets_fault_end_us == 0 && soak->targets_sound_us < quiet_since_us &&
+      soak->withdrawal_end_us == 0 && soak->notice_end_us == 0;
+  if (call->kind == JD_SOAK_SEARCH && call->key == JD_SOAK_KEY_DEFAULT && status == 503 &&
+      is_lapse && (is_injected || is_otherwise_sound))
+    jd_soak_report_violation (soak, "lapse_refused", call->id,
+                              "search refused although all targets are sound");
+}
+
 /* Reply callback: checks the reply that a caller received. */
 void
 jd_soak_on_reply (void *context, const jd_host_fixture_reply_t *received)
@@ -367,5 +440,6 @@
   if (call->kind == JD_SOAK_PROBE)
     check_probe (soak, call, reply);
   check_denied (soak, call, reply->status);
+  check_lapse (soak, call, reply->status);
   check_missing_answer (soak, call, reply, runs);
 }
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -10,6 +10,8 @@
 /* A target is withdrawn for up to this time, which is longer than
  * JD_SOAK_DRAIN_LIMIT_US, so that the check of the drain bound applies. */
 #define MAX_WITHDRAWAL_S 8.0
+/* Time until the writers of lost records have written them again. */
+#define MAX_REWRITE_S 2.0
 
 typedef enum jd_fault_kind
 {
@@ -19,8 +21,11 @@
   FAULT_RELOAD,
   FAULT_STORE,
   FAULT_STORE_FORGETS,
+  FAULT_STORE_LAPSE,
+  FAULT_STORE_OLDER_COPY,
   FAULT_TARGETS,
   FAULT_TARGET_HANGS,
+  FAULT_TARGETS_REJECT,
   FAULT_SILENCE,
   FAULT_ONE_WAY,
   FAULT_RESET,
@@ -41,8 +46,11 @@
   [FAULT_RELOAD] = "reload",
   [FAULT_STORE] = "store",
   [FAULT_STORE_FORGETS] = "store_forgets",
+  [FAULT_STORE_LAPSE] = "store_lapse",
+  [FAULT_STORE_OLDER_COPY] = "store_older_copy",
   [FAULT_TARGETS] = "targets",
   [FAULT_TARGET_HANGS] = "target_hangs",
+  [FAULT_TARGETS_REJECT] = "targets_reject",
   [FAULT_SILENCE] = "silence",
   [FAULT_ONE_WAY] = "one_way",
   [FAULT_RESET] = "reset",
@@ -123,6 +131,20 @@
     }
 }
 
+/* Lets some targets reject a share of the requests although they have free slots. */
+void
+jd_soak_set_target_faults (jd_soak_t *soak, double shed_share, uint32_t shedding_percent)
+{
+  for (uint32_t i = 0; i < soak->fixture.target_count; i++)
+    {
+      bool sheds = jd_rng_below (&soak->rng, 100) < shedding_percent;
+      jd_shard_faults_t faults = { .shed_share = sheds ? shed_share : 0.0,
+                                   .sheds_while_free = true,
+                                   .delay_us = 3000 };
+      jd_shard_target_set_faults (soak->fixture.targets[i].target, &faults);
+    }
+}
+
 /* Publishes the next configuration version, with or without the guest's key. */
 void
 jd_soak_publish_config (jd_soak_t *soak, bool has_guest_key)
@@ -158,6 +180,7 @@
 jd_soak_end_withdrawal (jd_soak_t *soak)
 {
   soak->withdrawal_end_us = 0;
+  soak->targets_sound_us = jd_monotonic_us ();
   jd_soak_target_t *target = &soak->targets[soak->withdrawn_target];
   target->withdrawn_us = 0;
   if (target->needs_restart)
@@ -200,6 +223,7 @@
     state->needs_restart = true;
   state->says_leaving = state->is_paused = false;
   soak->notice_end_us = 0;
+  soak->targets_sound_us = jd_monotonic_us ();
 }
 
 /* Restarts a target under another id, in a cold start, unless it is withdrawn. */
@@ -216,6 +240,7 @@
     jd_soak_end_notice (soak);
   jd_host_fixture_replace_target (&soak->fixture, index,
                                   is_injected ? 0 : JD_SOAK_COLD_START_MS);
+  soak->targets_sound_us = now_us + JD_SOAK_COLD_START_MS * JD_US_PER_MS;
   target->cold_until_us = now_us + JD_SOAK_COLD_START_MS * JD_US_PER_MS;
   target->cold_arrivals.count = 0;
 }
@@ -262,11 +287,52 @@
     }
 }
 
+/* Lets the records of all targets expire while the store is silent, or makes a copy of
+ * the store from which it returns later. The lost records are written again up to
+ * MAX_REWRITE_S after that. */
+static void
+start_store_loss (jd_soak_t *soak, jd_fault_kind_t kind)
+{
+  if (soak->writers_us != 0)
+    return;
+  int64_t return_us = random_time_within (soak, MAX_FAULT_S);
+  soak->writers_us = return_us + (int64_t)(jd_rng_unit (&soak->rng) * MAX_REWRITE_S *
+                                           (double)JD_US_PER_S);
+  soak->store_disturbed_us = soak->writers_us;
+  if (kind == FAULT_STORE_OLDER_COPY)
+    {
+      jd_published_store_keep_copy (soak->fixture.store);
+      soak->store_return_us = return_us;
+      return;
+    }
+  soak->lapse_started_us = jd_monotonic_us ();
+  jd_published_store_remove_all (soak->fixture.store, "servers/");
+  jd_published_store_set_mode (soak->fixture.store, JD_STORE_SILENT);
+  soak->store_fault_end_us = return_us;
+  if (jd_soak_injects (soak, "lapse_refused"))
+    jd_soak_set_target_faults (soak, 1.0, 100);
+}
+
+/* Writes all records again that the store may have lost: the configuration, and those of
+ * the targets that are not withdrawn. */
+static void
+write_lost_records (jd_soak_t *soak)
+{
+  soak->writers_us = 0;
+  soak->store_disturbed_us = jd_monotonic_us ();
+  for (uint32_t i = 0; i < soak->fixture.target_count; i++)
+    {
+      bool is_withdrawn = soak->targets[i].withdrawn_us > 0;
+      jd_host_fixture_publish_target (&soak->fixture, i, is_withdrawn ? NULL : "ready");
+    }
+  jd_soak_publish_config (soak, soak->fixture.has_guest_key);
+}
+
 /* Makes the store discard its history, or misbehave for up to MAX_FAULT_S. */
 static void
 start_store_fault (jd_soak_t *soak, jd_fault_kind_t kind)
 {
-  soak->store_disturbed_us = jd_monotonic_us ();
+  soak->store_disturbed_us = MAX (soak->store_disturbed_us, jd_monotonic_us ());
   if (kind == FAULT_STORE_FORGETS)
     {
       jd_published_store_discard_history (soak->fixture.store);
@@ -274,7 +340,7 @@
     }
   jd_published_store_set_mode (soak->fixture.store, 1 + jd_rng_below (&soak->rng, 3));
   soak->store_fault_end_us = random_time_within (soak, MAX_FAULT_S);
-  soak->store_disturbed_us = soak->store_fault_end_us;
+  soak->store_disturbed_us = MAX (soak->store_disturbed_us, soak->store_fault_end_us);
 }
 
 /* Draws a fault and starts it if the run has its kind. Faults of different
@@ -302,6 +368,14 @@
     case FAULT_STORE_FORGETS:
       start_store_fault (soak, kind);
       return;
+    case FAULT_STORE_LAPSE:
+    case FAULT_STORE_OLDER_COPY:
+      start_store_loss (soak, kind);
+      return;
+    case FAULT_TARGETS_REJECT:
+      jd_soak_set_target_faults (soak, 0.6, 80);
+      soak->targets_fault_end_us = random_time_within (soak, MAX_FAULT_S);
+      return;
     case FAULT_TARGETS:
     case FAULT_TARGET_HANGS:
       start_target_faults (soak, kind == FAULT_TARGET_HANGS);
@@ -392,8 +466,15 @@
     {
       jd_published_store_set_mode (fixture->store, JD_STORE_SERVES);
       soak->store_fault_end_us = 0;
-      soak->store_disturbed_us = now_us;
+      soak->store_disturbed_us = MAX (soak->store_disturbed_us, now_us);
+    }
+  if (soak->store_return_us != 0 && now_us >= soak->store_return_us)
+    {
+      jd_published_store_restore_copy (soak->fixture.store);
+      soak->store_return_us = 0;
     }
+  if (soak->writers_us != 0 && now_us >= soak->writers_us)
+    write_lost_records (soak);
   if (soak->targets_fault_end_us != 0 && now_us >= soak->targets_fault_end_us)
     {
       jd_shard_faults_t no_faults = { .delay_us = 3000 };
@@ -403,6 +484,7 @@
           jd_relay_set_delay (fixture->targets[i].relay, 0);
         }
       soak->targets_fault_end_us = 0;
+      soak->targets_sound_us = now_us;
     }
   if (soak->notice_end_us != 0 && now_us >= soak->notice_end_us)
     jd_soak_end_notice (soak);
--- a/test/stand_ins/shard_target.c
+++ b/test/stand_ins/shard_target.c
@@ -128,6 +128,8 @@
 {
   GString *fields = g_string_new ("X-Not-Executed: 1\r\n");
   append_notice (target, fields);
+  if (target->faults.sheds_while_free)
+    g_string_append (fields, "X-Server-Load: 0,0,2\r\n");
   if (status == 503 && target->notice.pause)
     g_string_append_printf (fields, "Retry-After: %s\r\n", target->notice.pause);
   jd_caller_answer (caller, status, fields, "", 0);
--- a/test/stand_ins/shard_target.h
+++ b/test/stand_ins/shard_target.h
@@ -12,6 +12,7 @@
 typedef struct jd_shard_faults
 {
   double shed_share;                 /* Refused with 503 and X-Not-Executed, not run. */
+  bool sheds_while_free;             /* Refusals report free slots. */
   double error_share;                /* Run, then answered with 500. */
   double close_without_answer_share; /* Run, then the connection is closed without an
                                         answer. */
