fix(daemons): release held removals before the store counts as sound

Cause: removals were held for stable-ms from the moment at which a host noticed the end of an outage, or a new generation, up to a read after it.

--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -71,11 +71,13 @@
 }
 
 /* Returns the time for which removals are held after an outage of the store: until it has
- * been stable for long enough to be trusted. */
+ * been stable for long enough to be trusted, also if this host noticed its end one read
+ * late. */
 static int64_t
 removal_hold_us (const jd_record_source_t *source)
 {
-  return MAX (REMOVAL_HOLD_MIN_US, source->options.store_stable_us);
+  return MAX (REMOVAL_HOLD_MIN_US,
+              source->options.store_stable_us - source->options.read_interval_us);
 }
 
 /* Handles the return of the store from an older copy of its records, which lacks changes
@@ -84,7 +86,7 @@
 jd_record_source_on_new_generation (jd_record_source_t *source)
 {
   jd_record_feed_hold_removals (source->options.feed,
-                                jd_monotonic_us () + removal_hold_us (source));
+                                jd_monotonic_us () + REMOVAL_HOLD_MIN_US);
 }
 
 /* Sets how many removals at a time are believed, as a share of all records, and the
