feat(routing): choose targets by their mean load and reported speed

Cause: a host of a large fleet hears of a target every few seconds, and a load report counts for 150 ms, so nearly all choices are made without one: hosts prefer the target of their zone until it is slow. The fourth figure of the load report, the speed of the target's machine, was dropped. Ruled out: raising a ratio of latency below 1 to the reported speed (hints between hosts then avoid slow targets less: test_fanout failed). Change: for targets that report four figures, the mean number of requests relative to their slots gives an expected wait (M/M/2), and the speed their work. Other targets are chosen as before. Off with use-mean-load=false.

--- a/src/config/host_settings.c
+++ b/src/config/host_settings.c
@@ -163,6 +163,7 @@
       (uint32_t)read_number (reader, "limits", "memory-mb", 256.0, 32.0, 1e7);
   settings->max_descriptors =
       (uint32_t)read_number (reader, "limits", "max-descriptors", 1024.0, 64.0, 1e7);
+  settings->uses_mean_load = read_boolean (reader, "limits", "use-mean-load", true);
   settings->learns_rejections = read_boolean (reader, "limits", "learn-rejections", true);
   settings->first_start = read_boolean (reader, "host", "first-start", false);
   char *level_text = read_string (reader, "log", "level");
--- a/src/config/host_settings.h
+++ b/src/config/host_settings.h
@@ -28,6 +28,8 @@
   uint32_t retry_slack;    /* Extra attempts of all hosts that a service can handle. */
   int64_t retry_window_us; /* Time window in which extra attempts are counted. */
   double rate_slack;       /* Requests of a tenant that are tolerated beyond its cap. */
+  bool uses_mean_load;     /* The mean load of targets that report their speed enters the
+                              choice of targets. */
   bool learns_rejections;  /* Targets that reject requests although they have free slots
                               are told apart from full ones. */
   uint32_t cold_slack;     /* Requests that a cold target can handle beyond its rate. */
--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -422,6 +422,7 @@
   jd_record_source_apply_limits (host->record_source, &source_limits);
   jd_fleet_quota_set_slack (host->quota, settings->rate_slack);
   jd_replica_registry_set_drain_limit (host->registry, settings->drain_limit_us);
+  jd_replica_registry_set_uses_mean_load (host->registry, settings->uses_mean_load);
   jd_replica_registry_set_learns_rejections (host->registry, settings->learns_rejections);
   add_seed_peers (host, settings->seeds);
 }
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -10,6 +10,7 @@
 #include "routing/extra_pool.h"
 #include "routing/hedge_budget.h"
 #include "routing/rejection_rate.h"
+#include "routing/target_load.h"
 #include "routing/target_notice.h"
 
 typedef struct jd_replica_pool jd_replica_pool_t;
@@ -85,6 +86,7 @@
   uint32_t reported_requests; /* Running and waiting requests in its last load report. */
   uint32_t own_attempts_at_report; /* Attempts of this host among them. */
   int64_t reported_at_us;          /* Time of that load report; 0: none. */
+  jd_target_load_t mean_load;      /* From its load reports, over seconds. */
   jd_rejection_rate_t rejections;  /* Rejected requests while it had free slots. */
   jd_cold_quota_t
       cold_quota; /* Requests that this host may send to it while it is cold. */
@@ -102,6 +104,7 @@
   double cold_per_s; /* Requests a second that a cold target can serve; 0: no limit. */
   jd_hedge_budget_t host_budget;   /* This host's budget of extra attempts. */
   jd_extra_budget_t shared_budget; /* Extra attempts of all hosts. */
+  bool uses_mean_load;             /* The mean load of its targets enters the choice. */
   bool learns_rejections; /* Rejections of targets with free slots are told apart. */
   jd_service_use_t use;   /* Whether requests of this host are expected. */
   uint32_t service_hash;  /* Identifies the service in messages between hosts. */
--- a/src/routing/replica_choice.c
+++ b/src/routing/replica_choice.c
@@ -50,8 +50,11 @@
                                 const jd_replica_criteria_t *criteria, int64_t now_us)
 {
   int64_t typical_latency_us = criteria->typical_latency_us;
-  double service_us =
-      (double)typical_latency_us * jd_replica_latency_ratio (replica, now_us);
+  double latency_ratio = jd_replica_latency_ratio (replica, now_us);
+  double work_factor = jd_target_load_work_factor (&replica->mean_load, now_us);
+  /* The latency of its answers has shown a part of its slowness already. */
+  double slower = MAX (work_factor - MAX (latency_ratio, 1.0), 0.0);
+  double service_us = (double)typical_latency_us * (latency_ratio + slower);
   if (replica->cold_until_us > now_us)
     service_us *= COLD_FACTOR;
   double slots = MAX (replica->slots, 1);
@@ -61,6 +64,7 @@
     cost_us += service_us * (requests + 1.0 - slots) / slots;
   else
     cost_us += service_us * 0.1 * requests / slots; /* Prefers the less loaded of two. */
+  cost_us += jd_target_load_wait_us (&replica->mean_load, service_us, now_us);
   cost_us += replica->failure_share * (double)FAILURE_COST_US;
   cost_us += jd_rejection_rate_extra_attempts (
                  jd_rejection_rate_share (&replica->rejections, now_us)) *
--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -26,6 +26,7 @@
   GHashTable *former_notices; /* id -> jd_target_notice_t of a removed target */
   int64_t drain_limit_us;
   bool learns_rejections;
+  bool uses_mean_load;
   uint32_t hosts;
   uint32_t rank;
 };
@@ -93,6 +94,7 @@
       pool->service_hash = (uint32_t)jd_hash_text (service, ID_HASH_SEED);
       pool->replicas = g_ptr_array_new ();
       pool->learns_rejections = registry->learns_rejections;
+      pool->uses_mean_load = registry->uses_mean_load;
       g_hash_table_insert (registry->by_service, pool->service, pool);
     }
   pool->references++;
@@ -326,6 +328,25 @@
     ((jd_replica_t *)value)->rejections = (jd_rejection_rate_t){ 0 };
 }
 
+/* Sets whether the mean load of targets that report their speed enters the choice of
+ * targets. */
+void
+jd_replica_registry_set_uses_mean_load (jd_replica_registry_t *registry,
+                                        bool uses_mean_load)
+{
+  registry->uses_mean_load = uses_mean_load;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, registry->by_service);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((jd_replica_pool_t *)value)->uses_mean_load = uses_mean_load;
+  if (uses_mean_load)
+    return;
+  g_hash_table_iter_init (&iter, registry->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((jd_replica_t *)value)->mean_load = (jd_target_load_t){ 0 };
+}
+
 /* Forgets the notices of targets that were removed long ago. */
 void
 jd_replica_registry_expire_notices (jd_replica_registry_t *registry, int64_t now_us)
--- a/src/routing/replica_registry.h
+++ b/src/routing/replica_registry.h
@@ -29,6 +29,8 @@
                                           int64_t drain_limit_us);
 void jd_replica_registry_set_learns_rejections (jd_replica_registry_t *registry,
                                                 bool learns_rejections);
+void jd_replica_registry_set_uses_mean_load (jd_replica_registry_t *registry,
+                                             bool uses_mean_load);
 void jd_replica_registry_expire_notices (jd_replica_registry_t *registry, int64_t now_us);
 void jd_replica_registry_set_hosts (jd_replica_registry_t *registry, uint32_t hosts,
                                     uint32_t rank);
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -562,22 +562,16 @@
     update_replica_counts (link);
 }
 
-/* The load that a target reports in an answer: counts of requests, and its slots. */
-typedef struct jd_reported_load
-{
-  unsigned int running;
-  unsigned int waiting;
-  unsigned int slots; /* 0: unknown. */
-} jd_reported_load_t;
-
-/* Reads the load that an answer reports. Returns FALSE if it reports none. */
+/* Reads the load that an answer reports; only targets on shared machines report the speed
+ * of their machine. Returns FALSE if the answer reports none. */
 static bool
 read_load (const jd_target_fields_t *fields, const jd_http_reader_t *reader,
-           jd_reported_load_t *load)
+           jd_load_report_t *load)
 {
   const char *text = jd_http_reader_value (reader, fields->load);
-  return text &&
-         sscanf (text, "%u,%u,%u", &load->running, &load->waiting, &load->slots) == 3;
+  *load = (jd_load_report_t){ 0 };
+  return text && sscanf (text, "%u,%u,%u,%u", &load->running, &load->waiting,
+                         &load->slots, &load->work_percent) >= 3;
 }
 
 /* Records the load and the cold state that a target reports in its answer. */
@@ -585,10 +579,14 @@
 record_target_load (jd_link_t *link, const jd_http_reader_t *reader, int64_t now_us)
 {
   const jd_target_fields_t *fields = &link->links->options.fields;
-  jd_reported_load_t load;
+  jd_load_report_t load;
   if (read_load (fields, reader, &load))
-    jd_replica_record_load (link->replica, load.running, load.waiting, load.slots,
-                            now_us);
+    {
+      jd_replica_record_load (link->replica, load.running, load.waiting, load.slots,
+                              now_us);
+      if (link->replica->pool->uses_mean_load)
+        jd_target_load_record (&link->replica->mean_load, &load, now_us);
+    }
   int64_t cold_ms = 0;
   if (jd_http_reader_number (reader, fields->cold_ms, &cold_ms) && cold_ms > 0)
     link->replica->cold_until_us = now_us + cold_ms * JD_US_PER_MS;
@@ -599,7 +597,7 @@
 static bool
 is_rejected_while_free (const jd_target_fields_t *fields, const jd_http_reader_t *reader)
 {
-  jd_reported_load_t load;
+  jd_load_report_t load;
   return reader->parser.status_code == 503 && read_load (fields, reader, &load) &&
          load.running < load.slots && load.waiting == 0 &&
          !jd_http_reader_value (reader, "Retry-After");
--- a/test/random/test_fanout.c
+++ b/test/random/test_fanout.c
@@ -372,10 +372,45 @@
     }
 }
 
+/* Guards against targets that are overrun while others idle: hosts that hear of a target
+ * every few seconds all choose the one of their own zone, or the one that was idle in the
+ * last report. */
+static void
+mean_load_spreads_searches (void)
+{
+  double old_sum = 0.0, new_sum = 0.0;
+  uint32_t old_waits = 0, new_waits = 0, old_in_time = 0, new_in_time = 0;
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      jd_search_load_t load = base_load (seed);
+      load.hosts = 32;
+      load.replicas = 3;
+      load.uneven_speed = true;
+      load.objective_ms = 60;
+      load.searches_per_s = 150.0;
+      jd_search_result_t old = jd_search_load_run (&load);
+      load.use_mean_load = true;
+      jd_search_result_t result = jd_search_load_run (&load);
+      old_sum += old.busiest_over_mean / SEEDS;
+      new_sum += result.busiest_over_mean / SEEDS;
+      old_waits += old.waits_beside_idle;
+      new_waits += result.waits_beside_idle;
+      old_in_time += old.in_objective;
+      new_in_time += result.in_objective;
+      check_invariants (&result);
+    }
+  printf ("busiest over mean %.2f -> %.2f, waits beside idle %u -> %u, in time %u -> %u ",
+          old_sum, new_sum, old_waits, new_waits, old_in_time, new_in_time);
+  CU_ASSERT_TRUE (new_sum < old_sum);
+  CU_ASSERT_TRUE (new_waits < old_waits);
+  CU_ASSERT_TRUE (new_in_time >= old_in_time);
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
+    { "mean load spreads searches", mean_load_spreads_searches },
     { "searches over rejecting targets complete",
       searches_over_rejecting_targets_complete },
     { "answers reach distant callers in time", answers_reach_distant_callers_in_time },
--- a/test/support/search_load.c
+++ b/test/support/search_load.c
@@ -21,6 +21,10 @@
  * rejections. */
 #define STATE_INTERVAL_MS 250
 #define EXTRA_WINDOW_MS 10000
+/* Windows in which the load of the replicas of a shard is compared, and the fewest first
+ * attempts in one that count. */
+#define BALANCE_WINDOW_MS 200
+#define BALANCE_ATTEMPTS_MIN 6
 /* Time after the end of a search until its host closes connections of open attempts. */
 #define ABANDONED_CLOSE_DELAY_US (300 * JD_US_PER_MS)
 
@@ -28,7 +32,9 @@
 {
   jd_replica_t *replicas[HOSTS_MAX]; /* State of the target at each host. */
   int64_t pause_offset_us;
-  double work_factor; /* Multiplies the work of its attempts. */
+  double work_factor;       /* Multiplies the work of its attempts. */
+  double speed_factor;      /* The same, at all times; it reports this. */
+  uint32_t window_attempts; /* First attempts in the present window. */
   bool dead;
   bool rejects; /* It rejects requests although it has free slots. */
   bool leaves;  /* It says so from leaving_from_ms of the load on. */
@@ -155,6 +161,20 @@
   count_attempts (&target->waiting, host, false, replica);
 }
 
+/* Returns TRUE if another replica of a target's shard runs nothing. */
+static bool
+has_idle_replica (const jd_load_sim_t *sim, const jd_load_target_t *target)
+{
+  uint32_t first = (uint32_t)(target - sim->targets) / sim->load->replicas;
+  for (uint32_t i = 0; i < sim->load->replicas; i++)
+    {
+      const jd_load_target_t *other = &sim->targets[first * sim->load->replicas + i];
+      if (other != target && !other->dead && other->running.length == 0)
+        return true;
+    }
+  return false;
+}
+
 /* Fanout action: starts an attempt at its target, queues it, or sheds it if the queue is
  * full. */
 static bool
@@ -179,9 +199,13 @@
     sim->result.attempts_after_leaving++;
   if (sim->now_us < target->asked_pause_until_us[search->host])
     sim->result.attempts_in_pauses++;
+  attempt->work_us = (int64_t)((double)attempt->work_us * target->speed_factor);
   search->open_attempts++;
   if (number == 0)
-    sim->result.first_attempts++;
+    {
+      sim->result.first_attempts++;
+      target->window_attempts++;
+    }
   else
     {
       uint32_t ms = (uint32_t)(sim->now_us / JD_US_PER_MS);
@@ -197,7 +221,10 @@
     g_queue_push_tail (&target->running, attempt);
   else if (sim->load->max_queue_length == 0 ||
            target->waiting.length < sim->load->max_queue_length)
-    g_queue_push_tail (&target->waiting, attempt);
+    {
+      g_queue_push_tail (&target->waiting, attempt);
+      sim->result.waits_beside_idle += has_idle_replica (sim, target);
+    }
   else
     g_queue_push_tail (&target->shed, attempt);
   update_attempt_counts (target, search->host);
@@ -242,6 +269,16 @@
   apply_notice (sim, target, attempt->search->host, outcome);
   jd_replica_record_load (target->replicas[attempt->search->host], target->running.length,
                           target->waiting.length, sim->load->slots, sim->now_us);
+  jd_load_report_t report = {
+    .running = target->running.length,
+    .waiting = target->waiting.length,
+    .slots = sim->load->slots,
+    .work_percent =
+        sim->load->uneven_speed ? (uint32_t)(target->speed_factor * 100.0) : 0,
+  };
+  if (sim->load->use_mean_load)
+    jd_target_load_record (&target->replicas[attempt->search->host]->mean_load, &report,
+                           sim->now_us);
   jd_route_latency_t *latency = sim->hosts[attempt->search->host].route->latency;
   jd_replica_observe (target->replicas[attempt->search->host], outcome, elapsed_us,
                       (int64_t)latency->median_us, sim->now_us);
@@ -395,6 +432,7 @@
           is_faulty_replica &&
           jd_rng_below (&rng, 100) < (uint64_t)load->slow_percent * load->replicas;
       target->work_factor = is_slow ? load->slow_factor : 1.0;
+      target->speed_factor = load->uneven_speed ? 0.8 + 0.5 * jd_rng_unit (&rng) : 1.0;
       target->dead = i / load->replicas < load->dead_shards;
       if (load->rejecting_percent > 0)
         target->rejects = jd_rng_below (&rng, 100) < load->rejecting_percent;
@@ -597,6 +635,29 @@
     }
 }
 
+/* Adds the balance of the shards in the last window to the sum of all windows; count is
+ * their number. */
+static void
+measure_balance (jd_load_sim_t *sim, uint32_t *count)
+{
+  uint32_t replicas = sim->load->replicas;
+  for (uint32_t shard = 0; shard < sim->load->shards; shard++)
+    {
+      uint32_t sum = 0, most = 0;
+      for (uint32_t i = 0; i < replicas; i++)
+        {
+          jd_load_target_t *target = &sim->targets[shard * replicas + i];
+          sum += target->window_attempts;
+          most = MAX (most, target->window_attempts);
+          target->window_attempts = 0;
+        }
+      if (sum < BALANCE_ATTEMPTS_MIN)
+        continue;
+      sim->result.busiest_over_mean += (double)most * replicas / sum;
+      (*count)++;
+    }
+}
+
 /* Returns the most extra attempts at a shard within EXTRA_WINDOW_MS, and frees the lists.
  */
 static uint32_t
@@ -773,6 +834,7 @@
   create_sim (&sim, load);
   sim.callers = jd_search_callers_new (load, sim.host_count);
   jd_rng_t rng = jd_philox_rng (&sim.random);
+  uint32_t balance_count = 0;
   for (uint32_t ms = 1; ms <= load->duration_ms + load->deadline_ms + 2; ms++)
     {
       sim.now_us = ms * JD_US_PER_MS;
@@ -786,12 +848,15 @@
       step_searches (&sim);
       if (load->send_hints && ms % HINT_INTERVAL_MS == 0)
         exchange_hints (&sim);
+      if (ms % BALANCE_WINDOW_MS == 0)
+        measure_balance (&sim, &balance_count);
       if (load->extra_slack > 0 && ms % STATE_INTERVAL_MS == 1)
         exchange_states (&sim);
       if (ms % HINT_INTERVAL_MS == 0)
         jd_search_callers_exchange_reports (sim.callers, sim.now_us);
     }
   compute_result (&sim);
+  sim.result.busiest_over_mean /= MAX (balance_count, 1);
   sim.result.max_extra_attempts = count_extra_attempts (&sim);
   for (uint32_t i = 0; i < load->shards * load->replicas; i++)
     {
--- a/test/support/search_load.h
+++ b/test/support/search_load.h
@@ -41,6 +41,8 @@
   uint32_t slow_percent; /* Percentage of targets that take slow_factor times as long. */
   double slow_factor;
   uint32_t slow_from_ms;      /* Start of the slow period. */
+  bool uneven_speed;          /* Targets take 0.8 to 1.3 times the work, and report it. */
+  bool use_mean_load;         /* Hosts choose by the mean load of such targets. */
   uint32_t rejecting_percent; /* Percentage of targets that reject requests although they
                                  have free slots. */
   double reject_share;        /* Share of requests that they reject. */
@@ -82,11 +84,15 @@
 typedef struct jd_search_result
 {
   uint32_t searches;
-  uint32_t answered;           /* With at least the minimum coverage. */
-  uint32_t in_objective;       /* As the caller measures it. */
-  uint32_t complete;           /* Answered with all parts. */
-  uint32_t refused_by_gate;    /* By the admission gate of a host. */
-  uint32_t refused_as_scarce;  /* Because their shards are scarce. */
+  uint32_t answered;          /* With at least the minimum coverage. */
+  uint32_t in_objective;      /* As the caller measures it. */
+  uint32_t complete;          /* Answered with all parts. */
+  uint32_t refused_by_gate;   /* By the admission gate of a host. */
+  uint32_t refused_as_scarce; /* Because their shards are scarce. */
+  double busiest_over_mean; /* First attempts at the busiest replica of a shard in 200 ms,
+                               over the mean of its replicas. */
+  uint32_t waits_beside_idle;  /* Attempts that wait while another replica of their shard
+                                  is idle. */
   uint32_t max_extra_attempts; /* Most extra attempts at a shard within 10 s. */
   uint32_t missed_deadlines;   /* Not ended by the deadline. */
   uint64_t first_attempts;
--- a/test/unit/test_host_settings.c
+++ b/test/unit/test_host_settings.c
@@ -38,6 +38,10 @@
   CU_ASSERT_EQUAL (g_strv_length (settings->seeds), 2);
   CU_ASSERT_EQUAL (settings->stop_grace_us, 6000000);
   CU_ASSERT_TRUE (settings->first_start);
+  CU_ASSERT_EQUAL (settings->store_stable_us, 4000000);
+  CU_ASSERT_DOUBLE_EQUAL (settings->max_removed_share, 0.1, 0.0001);
+  CU_ASSERT_TRUE (settings->learns_rejections);
+  CU_ASSERT_TRUE (settings->uses_mean_load);
   CU_ASSERT_PTR_NULL (settings->metrics_address);
   jd_host_settings_free (settings);
 }
@@ -59,6 +63,11 @@
     { "seeds=127.0.0.1:1,", "seeds=nowhere,", "seeds" },
     { "first-start=true", "first-start=maybe", "maybe" },
     { "stop-grace-s=6", "stop-grace-s=nan", "stop-grace-s" },
+    { "stop-grace-s=6", "learn-rejections=1", "learn-rejections" },
+    { "stop-grace-s=6", "use-mean-load=on", "use-mean-load" },
+    { "address=127.0.0.1:8183", "address=127.0.0.1:8183\nstable-ms=-1", "stable-ms" },
+    { "address=127.0.0.1:8183", "address=127.0.0.1:8183\nmax-removed-percent=101",
+      "max-removed-percent" },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
