--- a/src/routing/extra_pool.c
+++ b/src/routing/extra_pool.c
@@ -108,8 +108,8 @@
   return decayed_used (budget, now_us) + 1.0 <= budget->borrow_limit;
 }
 
-/* Sets the part of the slack that all hosts together may use up in a window at a scarce
- * shard, and their number. */
+/* Sets the part of the slack that all hosts together may use up in a window for retries,
+ * and their number. */
 void
 jd_extra_budget_set_window (jd_extra_budget_t *budget, double window_slack,
                             uint32_t hosts)
--- a/src/routing/fanout.c
+++ b/src/routing/fanout.c
@@ -282,7 +282,7 @@
   jd_extra_rank_t rank = is_hedge ? JD_EXTRA_RANK_OPTIONAL : fanout->rank;
   bool may_use_left = pool->learns_rejections && (is_scarce || !is_hedge);
   bool may_use_own = !is_scarce || !is_hedge;
-  if (jd_extra_budget_is_spent (budget, now_us))
+  if (pool->learns_rejections && jd_extra_budget_is_spent (budget, now_us))
     return false;
   bool is_taken =
       (may_use_own && (jd_hedge_budget_take_token (&pool->host_budget) ||
