fix(soak): let cold targets write the rest of their cold time again

The platform's targets write the remaining time. Ruled out: the hosts' cold quotas (hosts that had read the first record kept to them).

--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -314,7 +314,7 @@
 }
 
 /* Writes all records again that the store may have lost: the configuration, and those of
- * the targets that are not withdrawn. */
+ * the targets that are not withdrawn, with the time for which they are still cold. */
 static void
 write_lost_records (jd_soak_t *soak)
 {
@@ -323,6 +323,8 @@
   for (uint32_t i = 0; i < soak->fixture.target_count; i++)
     {
       bool is_withdrawn = soak->targets[i].withdrawn_us > 0;
+      int64_t cold_left_us = soak->targets[i].cold_until_us - soak->store_disturbed_us;
+      soak->fixture.targets[i].cold_ms = (uint32_t)(MAX (cold_left_us, 0) / JD_US_PER_MS);
       jd_host_fixture_publish_target (&soak->fixture, i, is_withdrawn ? NULL : "ready");
     }
   jd_soak_publish_config (soak, soak->fixture.has_guest_key);
