fix(membership): copy no record that was removed before

Cause: a host that starts copies all records of another host once. If it had read the store after a target's removal, and the other host had not heard of it, the target came back and stayed for ever, because the removal lay before the revision that the host was complete up to. Ruled out: the store (it did not have the record any more) and held removals (they end within seconds). Change: a record that a host lacks although it is complete up to its revision was removed.

--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -126,6 +126,10 @@
 jd_record_feed_put (jd_record_feed_t *feed, const char *key, GBytes *value,
                     int64_t revision)
 {
+  /* A host that is complete up to this revision and lacks the record knows that it was
+   * removed; another host may not have heard of that. */
+  if (revision <= feed->revision && !g_hash_table_contains (feed->by_key, key))
+    return false;
   jd_feed_item_t *item = find_item (feed, key);
   if (revision <= item->revision && !is_known_better (feed, item, value, revision))
     return false;
--- a/test/unit/test_record_feed.c
+++ b/test/unit/test_record_feed.c
@@ -439,6 +439,33 @@
   jd_record_feed_free (feed);
 }
 
+/* Guards against a target that stays in use for ever: a host that started read the store
+ * after the target was removed, and then copied all records from a host that had not
+ * heard of the removal (soak seed 138). */
+static void
+copy_brings_no_removed_record_back (void)
+{
+  event_counts_t late_counts = { 0 }, started_counts = { 0 };
+  jd_record_feed_t *late = new_guarded_feed (&late_counts);
+  jd_record_feed_t *started = new_guarded_feed (&started_counts);
+  put_record (late, "kept", "a1", 4);
+  put_record (late, "left", "a1", 5);
+  jd_record_feed_advance (late, 6, 10);
+  /* The removal of "left" has revision 8. */
+  put_record (started, "kept", "a1", 4);
+  jd_record_feed_advance (started, 9, 20);
+  jd_record_feed_each_after (late, -1, copy_item, started);
+  jd_record_feed_advance (started, 6, 10);
+  CU_ASSERT_EQUAL (started_counts.changes, 1);
+  GHashTable *keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  jd_record_feed_each_after (started, -1, collect_key, keys);
+  CU_ASSERT_FALSE (g_hash_table_contains (keys, "left"));
+  CU_ASSERT_TRUE (g_hash_table_contains (keys, "kept"));
+  g_hash_table_destroy (keys);
+  jd_record_feed_free (started);
+  jd_record_feed_free (late);
+}
+
 /* Guards against hosts without a configuration because the store returned empty. */
 static void
 configuration_stays_without_a_record (void)
@@ -472,6 +499,7 @@
     { "older copy takes nothing back", older_copy_takes_nothing_back },
     { "hosts learn what the older copy lacks", hosts_learn_what_the_older_copy_lacks },
     { "earlier generation says nothing", earlier_generation_says_nothing },
+    { "copy brings no removed record back", copy_brings_no_removed_record_back },
     { "configuration stays without a record", configuration_stays_without_a_record },
   };
   return JD_TEST_RUN ("record_feed", cases);
