--- a/review/6/late_copy.c
+++ b/review/6/late_copy.c
@@ -119,7 +119,7 @@
 static void *
 run_client (void *context)
 {
-  rig_message_t *answer = malloc (sizeof (*answer));
+  rig_message_t *answer = calloc (1, sizeof (*answer));
   (void)context;
   while (answer && rig_now_ms () < end_ms)
     {
--- a/review/7/stale_config.c
+++ b/review/7/stale_config.c
@@ -147,7 +147,7 @@
 main (int argc, char **argv)
 {
   rig_open (argc > 1 ? argv[1] : ".");
-  rig_message_t *answer = malloc (sizeof (*answer));
+  rig_message_t *answer = calloc (1, sizeof (*answer));
   rig_store_observe (on_read);
   for (int i = 0; i < 2 * ZONE_HOSTS; i++)
     case_hosts[i] = rig_host_add (i < ZONE_HOSTS ? "zone-a" : "zone-b");
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -20,6 +20,7 @@
 #define HEARTBEAT_MS 1200
 #define READY_TIMEOUT_MS 15000
 #define LISTEN_BACKLOG 128
+#define STACK_BYTES ((size_t)256 * 1024)
 /* All machines start within 0.3 s. */
 #define START_PAUSE_MS 55
 #define TEMPLATE_PATH "deploy/host.conf.template"
@@ -40,6 +41,8 @@
   int fd;
 } store_connection_t;
 
+int rig_slots = 6;
+
 static FILE *record_file;
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
 static char temp_folder[128];
@@ -268,15 +271,29 @@
     }
 }
 
-/* Reads one byte within the time left. Returns FALSE at the end of the input. */
+/* Fills the empty buffer within the time left. Returns FALSE at the end of the input. */
 static bool
-read_byte (int fd, char *byte, int64_t until_ms)
+fill_buffer (int fd, rig_message_t *message, int64_t until_ms)
 {
   struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
   int64_t left_ms = until_ms - rig_now_ms ();
   if (left_ms <= 0 || poll (&poll_fd, 1, (int)left_ms) <= 0)
     return false;
-  return recv (fd, byte, 1, 0) == 1;
+  ssize_t size = recv (fd, message->buffer, sizeof (message->buffer), 0);
+  message->buffer_start = 0;
+  message->buffer_end = size > 0 ? (size_t)size : 0;
+  return size > 0;
+}
+
+/* Reads one byte within the time left. Returns FALSE at the end of the input. */
+static bool
+read_byte (int fd, rig_message_t *message, char *byte, int64_t until_ms)
+{
+  if (message->buffer_start == message->buffer_end &&
+      !fill_buffer (fd, message, until_ms))
+    return false;
+  *byte = message->buffer[message->buffer_start++];
+  return true;
 }
 
 /* Copies the value of a header field. Returns FALSE if there is none. */
@@ -310,24 +327,24 @@
   while (length < 4 || memcmp (message->head + length - 4, "\r\n\r\n", 4) != 0)
     {
       if (length + 1 >= sizeof (message->head) ||
-          !read_byte (fd, &message->head[length], until_ms))
+          !read_byte (fd, message, &message->head[length], until_ms))
         return false;
       message->head[++length] = '\0';
     }
   if (strncmp (message->head, "HTTP/1.1 ", 9) == 0)
     message->status = (int)strtol (message->head + 9, NULL, 10);
-  size_t body_bytes = 0;
   if (rig_header (message, "Content-Length", text, sizeof (text)))
-    body_bytes = (size_t)strtoul (text, NULL, 10);
-  if (body_bytes >= sizeof (message->body))
-    return false;
-  while (message->body_bytes < body_bytes)
+    message->body_bytes = (size_t)strtoul (text, NULL, 10);
+  for (size_t left = message->body_bytes; left > 0;)
     {
-      if (!read_byte (fd, &message->body[message->body_bytes], until_ms))
+      if (message->buffer_start == message->buffer_end &&
+          !fill_buffer (fd, message, until_ms))
         return false;
-      message->body_bytes++;
+      size_t present = message->buffer_end - message->buffer_start;
+      size_t taken = present < left ? present : left;
+      message->buffer_start += taken;
+      left -= taken;
     }
-  message->body[message->body_bytes] = '\0';
   return true;
 }
 
@@ -356,6 +373,7 @@
   int fd = rig_connect (address);
   if (fd < 0)
     return 0;
+  answer->buffer_start = answer->buffer_end = 0;
   rig_send (fd, request);
   bool is_whole = rig_read_message (fd, answer, timeout_ms);
   close (fd);
@@ -363,13 +381,17 @@
 }
 
 /* Starts a detached thread. */
-static void
-start_thread (void *(*run) (void *), void *context)
+void
+rig_start_thread (void *(*run) (void *), void *context)
 {
   pthread_t thread;
-  if (pthread_create (&thread, NULL, run, context) != 0)
+  pthread_attr_t attributes;
+  pthread_attr_init (&attributes);
+  pthread_attr_setstacksize (&attributes, STACK_BYTES);
+  pthread_attr_setdetachstate (&attributes, PTHREAD_CREATE_DETACHED);
+  if (pthread_create (&thread, &attributes, run, context) != 0)
     rig_fail ("no thread");
-  pthread_detach (thread);
+  pthread_attr_destroy (&attributes);
 }
 
 /* Appends the base64 form of a text. */
@@ -465,7 +487,7 @@
 {
   store_connection_t *connection = context;
   int fd = connection->fd;
-  rig_message_t *call = malloc (sizeof (*call));
+  rig_message_t *call = calloc (1, sizeof (*call));
   while (call && rig_read_message (fd, call, 3600000))
     {
       char head[160];
@@ -507,7 +529,7 @@
         rig_fail ("no memory");
       connection->host = host;
       connection->fd = fd;
-      start_thread (serve_store_connection, connection);
+      rig_start_thread (serve_store_connection, connection);
     }
   return NULL;
 }
@@ -534,7 +556,7 @@
 serve_backend_connection (void *context)
 {
   rig_connection_t *connection = context;
-  rig_message_t *request = malloc (sizeof (*request));
+  rig_message_t *request = calloc (1, sizeof (*request));
   while (request && rig_read_message (connection->fd, request, 3600000))
     {
       char expected[64] = "";
@@ -568,7 +590,7 @@
         rig_fail ("no memory");
       connection->backend = backend;
       connection->fd = fd;
-      start_thread (serve_backend_connection, connection);
+      rig_start_thread (serve_backend_connection, connection);
     }
   return NULL;
 }
@@ -613,13 +635,13 @@
   snprintf (backend->id, sizeof (backend->id), "i-%s-%zu", service, backend_count);
   snprintf (backend->service, sizeof (backend->service), "%s", service);
   snprintf (backend->zone, sizeof (backend->zone), "%s", zone);
-  backend->slots = 6;
+  backend->slots = rig_slots;
   backend->born_ms = (int64_t)time (NULL) * 1000;
   backend->handler = handler;
   backend->listen_fd = listen_on (ip, backend->address, sizeof (backend->address));
-  start_thread (accept_backend_connections, backend);
+  rig_start_thread (accept_backend_connections, backend);
   publish_backend (backend);
-  start_thread (send_heartbeats, backend);
+  rig_start_thread (send_heartbeats, backend);
   return backend;
 }
 
@@ -639,7 +661,7 @@
   snprintf (host->readiness, sizeof (host->readiness), "%s:%d", ip, free_port (ip));
   snprintf (store_ip, sizeof (store_ip), "127.%d.%d.200", net_a, net_b);
   host->store_fd = listen_on (store_ip, host->store, sizeof (host->store));
-  start_thread (accept_store_connections, host);
+  rig_start_thread (accept_store_connections, host);
   return host;
 }
 
@@ -792,7 +814,7 @@
 rig_wait_ready (void)
 {
   static const char request[] = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
-  rig_message_t *answer = malloc (sizeof (*answer));
+  rig_message_t *answer = calloc (1, sizeof (*answer));
   int64_t until_ms = rig_now_ms () + READY_TIMEOUT_MS;
   for (size_t i = 0; i < host_count; i++)
     {
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -12,17 +12,19 @@
  * status 2. */
 
 #define RIG_HOSTS_MAX 8
-#define RIG_BACKENDS_MAX 8
+#define RIG_BACKENDS_MAX 16
 #define RIG_ITEMS_MAX 64
 #define RIG_TEXT_MAX 16384
 
-/* A message as it was read: the start line, the header fields and the body. */
+/* A message as it was read from a connection, and the bytes that were read behind it. The
+ * body is not kept. Each connection needs one of its own, with zeros at first. */
 typedef struct rig_message
 {
   char head[RIG_TEXT_MAX];
-  char body[RIG_TEXT_MAX];
   size_t body_bytes;
   int status; /* Of an answer; 0 for a request. */
+  char buffer[RIG_TEXT_MAX];
+  size_t buffer_start, buffer_end;
 } rig_message_t;
 
 typedef struct rig_backend rig_backend_t;
@@ -68,11 +70,14 @@
 /* Called after the store has answered a read of a host. */
 typedef void (*rig_read_observer_t) (const rig_host_t *host);
 
+extern int rig_slots; /* Of each backend that is started afterwards. */
+
 bool rig_has_trouble (void);
 void rig_open (const char *folder);
 int rig_finish (bool rule_held);
 void rig_record (const char *format, ...) __attribute__ ((format (printf, 1, 2)));
 void rig_fail (const char *what) __attribute__ ((noreturn));
+void rig_start_thread (void *(*run) (void *), void *context);
 int64_t rig_now_ms (void);
 void rig_sleep_ms (int64_t duration_ms);
 double rig_random (void);
