fix(transport): send one attempt of a request on a connection

Callers saw edits that ran twice, and some that were answered 503 and had run, while targets rejected a part of their requests and sent a few answers twice.

Cause: an edit that a free target rejects may go to the same target again, on the connection of the first attempt. All attempts of a request carry the same id, so the late copy of the first rejection ended the second attempt as not run, while the target ran it. Ruled out: answers on idle connections (they close the connection), answers with another id (skipped), hedges (other target, other connection), the own interface (an id for each attempt). Change: a connection carries at most one attempt of a request; an idle one that no waiting attempt may use gives way to a new one at the limit. Conclusion: an id that names the request tells attempts apart only together with the connection.

--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -275,8 +275,9 @@
           G_LOG_LEVEL_INFO, "part_missing",
           "id=%s part=%u service=%s replicas=%u attempts=%u running=%u target=%s "
           "waited_ms=%.1f tokens=%.1f",
-          request->outgoing->id, i, part->pool->service, part->pool->replicas->len,
-          part->attempt_count, part->running_attempts, last ? last->replica->id : "-",
+          request->outgoing->match.request_id, i, part->pool->service,
+          part->pool->replicas->len, part->attempt_count, part->running_attempts,
+          last ? last->replica->id : "-",
           last ? (double)(now_us - last->started_us) / (double)JD_US_PER_MS : 0.0,
           part->pool->host_budget.tokens);
     }
@@ -301,7 +302,7 @@
       "id=%s route=%s tenant=%s end=%s status=%u ms=%.1f parts=%u/%u lost=%u hedges=%u "
       "retries=%u partial_at_ms=%.1f left_ms=%" G_GINT64_FORMAT
       " config=%" G_GINT64_FORMAT " config_age_ms=%" G_GINT64_FORMAT " usual_ms=%.1f",
-      request->outgoing->id, request->route->name,
+      request->outgoing->match.request_id, request->route->name,
       request->tenant ? request->tenant : "-", jd_host_end_name (end), status,
       (double)(now_us - request->arrived_us) / (double)JD_US_PER_MS, fanout->done_count,
       fanout->part_count, fanout->lost_count, fanout->hedges, fanout->retries,
@@ -319,7 +320,7 @@
   GString *fields = g_string_new (NULL);
   GString *body = g_string_new (NULL);
   g_string_append_printf (fields, "%s: %s\r\n%s: %s\r\n%s: %u\r\n", names->request_id,
-                          request->outgoing->id, names->part_signatures,
+                          request->outgoing->match.request_id, names->part_signatures,
                           request->signatures->str, names->missing_parts,
                           request->fanout->part_count - request->fanout->done_count);
   jd_top_records_render (request->top_records, body);
@@ -493,8 +494,8 @@
   else
     jd_log_event (G_LOG_LEVEL_INFO, "attempt_failed",
                   "id=%s part=%u service=%s target=%s outcome=%s may_have_run=%d ms=%.1f",
-                  request->outgoing->id, part, replica->pool->service, replica->id,
-                  outcome_name (outcome), result->may_have_run,
+                  request->outgoing->match.request_id, part, replica->pool->service,
+                  replica->id, outcome_name (outcome), result->may_have_run,
                   (double)result->elapsed_us / (double)JD_US_PER_MS);
   jd_fanout_end_attempt (request->fanout, part, tag % JD_FANOUT_ATTEMPTS_MAX, outcome,
                          result->may_have_run, now_us);
@@ -512,14 +513,15 @@
                                 .context = request,
                                 .tag = tag };
   if (attempt > 0)
-    jd_log_event (
-        G_LOG_LEVEL_INFO, "attempt_added",
-        "id=%s part=%u attempt=%u service=%s target=%s zone=%s slowness=%.2f "
-        "failures=%.2f tokens=%.1f ms=%.1f",
-        request->outgoing->id, part, attempt + 1, replica->pool->service, replica->id,
-        replica->zone, jd_replica_latency_ratio (replica, jd_monotonic_us ()),
-        replica->failure_share, replica->pool->host_budget.tokens,
-        (double)(jd_monotonic_us () - request->arrived_us) / (double)JD_US_PER_MS);
+    jd_log_event (G_LOG_LEVEL_INFO, "attempt_added",
+                  "id=%s part=%u attempt=%u service=%s target=%s zone=%s slowness=%.2f "
+                  "failures=%.2f tokens=%.1f ms=%.1f",
+                  request->outgoing->match.request_id, part, attempt + 1,
+                  replica->pool->service, replica->id, replica->zone,
+                  jd_replica_latency_ratio (replica, jd_monotonic_us ()),
+                  replica->failure_share, replica->pool->host_budget.tokens,
+                  (double)(jd_monotonic_us () - request->arrived_us) /
+                      (double)JD_US_PER_MS);
   jd_exchange_t *exchange =
       jd_replica_links_send (request->host->links, replica, request->outgoing,
                              (int64_t)request->route->latency->median_us, &owner);
@@ -590,7 +592,7 @@
       draw * (RETRY_AFTER_SCARCE_OBJECTIVES_MAX - RETRY_AFTER_SCARCE_OBJECTIVES_MIN);
   jd_log_event (G_LOG_LEVEL_INFO, "shards_scarce",
                 "id=%s route=%s expected_parts=%.1f needed=%u parts=%u rank=%d",
-                request->outgoing->id, request->route->name, expected_parts,
+                request->outgoing->match.request_id, request->route->name, expected_parts,
                 fanout->needed_parts, fanout->part_count, fanout->rank);
   jd_counter_add (host->scarce_counter, 1);
   reject (host, request->caller, reader,
--- a/src/transport/replica_links.c
+++ b/src/transport/replica_links.c
@@ -59,6 +59,7 @@
   GList node; /* In link->connections. */
   ev_io io;
   int fd;
+  uint64_t serial; /* Unique among the connections of this process. */
   jd_connection_state_t state;
   jd_http_reader_t reader;
   GString *output;
@@ -125,7 +126,7 @@
 {
   jd_outgoing_request_t *outgoing = g_new0 (jd_outgoing_request_t, 1);
   outgoing->references = 1;
-  outgoing->id = g_strdup (id);
+  jd_answer_match_init (&outgoing->match, id);
   outgoing->head = g_string_new (NULL);
   outgoing->body = g_string_new (NULL);
   return outgoing;
@@ -137,7 +138,7 @@
 {
   if (!outgoing || --outgoing->references > 0)
     return;
-  g_free (outgoing->id);
+  jd_answer_match_clear (&outgoing->match);
   g_string_free (outgoing->head, TRUE);
   g_string_free (outgoing->body, TRUE);
   g_free (outgoing);
@@ -384,8 +385,21 @@
   fail_connection (connection, JD_REPLICA_BROKEN);
 }
 
-/* Handles a connection that could not be opened. Waiting exchanges fail if the replica
- * has no other connection. */
+/* Returns TRUE if a connection of the link may carry the exchange, now or later. */
+static bool
+has_usable_connection (const jd_link_t *link, const jd_exchange_t *exchange)
+{
+  for (const GList *item = link->connections.head; item; item = item->next)
+    {
+      const jd_connection_t *connection = item->data;
+      if (jd_answer_match_may_use (&exchange->outgoing->match, connection->serial))
+        return true;
+    }
+  return false;
+}
+
+/* Handles a connection that could not be opened. Waiting exchanges that no other
+ * connection to the replica may carry fail. */
 static void
 fail_connect (jd_connection_t *connection, const char *cause)
 {
@@ -396,9 +410,19 @@
   int64_t now_us = jd_monotonic_us ();
   record_refusal (link, now_us);
   jd_replica_observe (link->replica, JD_REPLICA_UNREACHABLE, 0, 0, now_us);
-  bool has_other_connections = link->connections.length > 0;
-  if (!has_other_connections)
-    fail_waiting_exchanges (link, JD_REPLICA_UNREACHABLE);
+  /* The owners may cancel exchanges and add new ones meanwhile. */
+  for (guint left = link->waiting.length; left > 0 && link->waiting.head; left--)
+    {
+      jd_exchange_t *exchange = link->waiting.head->data;
+      g_queue_unlink (&link->waiting, &exchange->node);
+      if (has_usable_connection (link, exchange))
+        {
+          g_queue_push_tail_link (&link->waiting, &exchange->node);
+          continue;
+        }
+      jd_exchange_result_t result = { .outcome = JD_REPLICA_UNREACHABLE };
+      finish_exchange (exchange, &result);
+    }
 }
 
 /* Sends pending output, as far as the socket accepts it. The next read reports a failed
@@ -438,9 +462,10 @@
 {
   jd_link_t *link = connection->link;
   const jd_target_fields_t *fields = &link->links->options.fields;
-  const jd_outgoing_request_t *outgoing = exchange->outgoing;
+  jd_outgoing_request_t *outgoing = exchange->outgoing;
   int64_t now_us = jd_monotonic_us ();
   int64_t remaining_ms = MAX ((outgoing->deadline_us - now_us) / JD_US_PER_MS, 1);
+  jd_answer_match_use (&outgoing->match, connection->serial);
   exchange->connection = connection;
   exchange->sent_us = now_us;
   connection->exchange = exchange;
@@ -461,10 +486,11 @@
   flush_output (connection);
 }
 
-/* Returns the most recently used idle connection that the target will not close soon, or
- * NULL. */
+/* Returns the most recently used idle connection that may carry an attempt of a request
+ * and that the target will not close soon, or NULL. */
 static jd_connection_t *
-find_idle_connection (jd_link_t *link, int64_t now_us)
+find_idle_connection (jd_link_t *link, const jd_outgoing_request_t *outgoing,
+                      int64_t now_us)
 {
   for (GList *item = link->connections.head; item; item = item->next)
     {
@@ -474,7 +500,8 @@
       if (connection->idle_limit_us > 0 && now_us - connection->state_since_us >
                                                connection->idle_limit_us - IDLE_MARGIN_US)
         continue;
-      return connection;
+      if (jd_answer_match_may_use (&outgoing->match, connection->serial))
+        return connection;
     }
   return NULL;
 }
@@ -520,7 +547,7 @@
   g_queue_push_tail_link (&link->connections, &connection->node);
   link->opening_count++;
   link->links->open_count++;
-  link->links->opened_total++;
+  connection->serial = ++link->links->opened_total;
   jd_connection_upkeep_opened (&link->upkeep);
   int result = connect (fd, (const struct sockaddr *)&link->replica->address,
                         sizeof (link->replica->address));
@@ -534,9 +561,46 @@
   ev_io_start (link->links->options.loop, &connection->io);
 }
 
+/* Returns the number of idle connections of a link. */
+static uint32_t
+count_idle (const jd_link_t *link)
+{
+  uint32_t count = 0;
+  for (const GList *item = link->connections.head; item; item = item->next)
+    count += ((const jd_connection_t *)item->data)->state == CONNECTION_IDLE;
+  return count;
+}
+
+/* Closes the idle connection that was used least recently, if there is one. */
+static void
+close_oldest_idle_connection (jd_link_t *link)
+{
+  for (GList *item = link->connections.tail; item; item = item->prev)
+    {
+      jd_connection_t *connection = item->data;
+      if (connection->state != CONNECTION_IDLE)
+        continue;
+      close_connection (connection);
+      return;
+    }
+}
+
+/* Opens one more connection if exchanges still wait and the quota allows it. An idle
+ * connection that none of them may use gives way to a new one. */
+static void
+open_for_waiting_exchanges (jd_link_t *link, int64_t now_us)
+{
+  if (link->retired || link->waiting.length <= link->opening_count ||
+      now_us < link->open_after_us)
+    return;
+  if (link->connections.length >= connection_limit (link))
+    close_oldest_idle_connection (link);
+  if (link->connections.length < connection_limit (link))
+    open_connection (link);
+}
+
 /* Starts waiting exchanges on idle connections, unless the target wants none; the timer
- * ends them then. Opens one more connection if exchanges still wait and the quota allows
- * it. */
+ * ends them then. Opens one more connection if that is not enough. */
 static void
 start_waiting_exchanges (jd_link_t *link)
 {
@@ -546,20 +610,22 @@
       update_replica_counts (link);
       return;
     }
-  while (link->waiting.head)
+  uint32_t idle_count = link->waiting.head ? count_idle (link) : 0;
+  GList *next = NULL;
+  for (GList *item = link->waiting.head; item && idle_count > 0; item = next)
     {
-      jd_connection_t *connection = find_idle_connection (link, now_us);
+      next = item->next;
+      jd_exchange_t *exchange = item->data;
+      jd_connection_t *connection =
+          find_idle_connection (link, exchange->outgoing, now_us);
       if (!connection)
-        break;
-      jd_exchange_t *exchange = link->waiting.head->data;
+        continue;
       g_queue_unlink (&link->waiting, &exchange->node);
       start_exchange (connection, exchange);
+      idle_count--;
     }
-  if (!link->retired && link->waiting.length > link->opening_count &&
-      link->connections.length < connection_limit (link) && now_us >= link->open_after_us)
-    open_connection (link);
-  else
-    update_replica_counts (link);
+  open_for_waiting_exchanges (link, now_us);
+  update_replica_counts (link);
 }
 
 /* Reads the load that an answer reports; only targets on shared machines report the speed
@@ -647,7 +713,8 @@
 {
   const char *id = jd_http_reader_value (
       &connection->reader, connection->link->links->options.fields.request_id);
-  return id && strcmp (id, connection->exchange->outgoing->id) != 0;
+  return jd_answer_match_owner (&connection->exchange->outgoing->match, id) ==
+         JD_ANSWER_OTHER;
 }
 
 /* Ends the exchange of a connection whose reader holds a whole answer. The connection is
@@ -736,7 +803,7 @@
       if (!is_interim)
         {
           jd_log_event (G_LOG_LEVEL_INFO, "reply_of_other_request", "id=%s target=%s",
-                        connection->exchange->outgoing->id,
+                        connection->exchange->outgoing->match.request_id,
                         connection->link->replica->id);
           record_target_notice (connection->link, &connection->reader,
                                 jd_monotonic_us ());
@@ -857,7 +924,7 @@
   replica->pool->use.last_request_us = now_us;
   if (replica->cold_until_us > now_us)
     jd_cold_quota_use_grant (&replica->cold_quota, now_us);
-  jd_connection_t *idle = find_idle_connection (link, now_us);
+  jd_connection_t *idle = find_idle_connection (link, outgoing, now_us);
   if (idle && link->waiting.length == 0)
     {
       start_exchange (idle, exchange);
@@ -1006,6 +1073,9 @@
           item = next;
         }
       release_waiting_exchanges (link);
+      /* An exchange may wait for a new connection while others are idle. */
+      if (link->waiting.head && link->opening_count == 0)
+        start_waiting_exchanges (link);
       if (link->retired && link->connections.length == 0 && link->waiting.length == 0)
         {
           free_link (link);
--- a/src/transport/replica_links.h
+++ b/src/transport/replica_links.h
@@ -3,6 +3,7 @@
 #include <ev.h>
 
 #include "limits/byte_budget.h"
+#include "routing/answer_match.h"
 #include "routing/replica.h"
 #include "transport/http_reader.h"
 
@@ -29,7 +30,7 @@
 typedef struct jd_outgoing_request
 {
   uint32_t references;
-  char *id;
+  jd_answer_match_t match;
   GString *head; /* Request line and header fields; each line ends with \r\n. */
   GString *body;
   bool is_head_method;
--- a/test/unit/test_replica_links.c
+++ b/test/unit/test_replica_links.c
@@ -193,10 +193,9 @@
   cancel_exchanges (owner);
 }
 
-/* Sends a request with a body to a target. */
-static jd_exchange_t *
-send_request (jd_links_fixture_t *fixture, uint32_t index, size_t body_bytes,
-              int64_t time_limit_us, jd_links_owner_t *owner)
+/* Creates a request with a body. */
+static jd_outgoing_request_t *
+new_request (size_t body_bytes, int64_t time_limit_us)
 {
   jd_outgoing_request_t *outgoing = jd_outgoing_request_new ("r1");
   g_string_append_printf (outgoing->head,
@@ -206,14 +205,38 @@
   g_string_set_size (outgoing->body, body_bytes);
   memset (outgoing->body->str, 'b', body_bytes);
   outgoing->deadline_us = jd_monotonic_us () + time_limit_us;
+  return outgoing;
+}
+
+/* Starts an attempt of a request at a target. */
+static jd_exchange_t *
+send_attempt (jd_links_fixture_t *fixture, uint32_t index,
+              jd_outgoing_request_t *outgoing, jd_links_owner_t *owner)
+{
   jd_exchange_owner_t exchange_owner = { .on_done = on_done, .context = owner };
-  jd_exchange_t *exchange =
-      jd_replica_links_send (fixture->links, target (fixture, index), outgoing,
-                             10 * JD_US_PER_MS, &exchange_owner);
+  return jd_replica_links_send (fixture->links, target (fixture, index), outgoing,
+                                10 * JD_US_PER_MS, &exchange_owner);
+}
+
+/* Sends a request with a body to a target. */
+static jd_exchange_t *
+send_request (jd_links_fixture_t *fixture, uint32_t index, size_t body_bytes,
+              int64_t time_limit_us, jd_links_owner_t *owner)
+{
+  jd_outgoing_request_t *outgoing = new_request (body_bytes, time_limit_us);
+  jd_exchange_t *exchange = send_attempt (fixture, index, outgoing, owner);
   jd_outgoing_request_unref (outgoing);
   return exchange;
 }
 
+/* Sends an answer on the target's side of a connection. */
+static void
+answer (int connection, const char *text)
+{
+  CU_ASSERT_EQUAL (send (connection, text, strlen (text), MSG_NOSIGNAL),
+                   (ssize_t)strlen (text));
+}
+
 /* Guards against a crash of hosts whose targets are silent and removed: the timer of the
  * connections ended a request, whose owner cancelled the attempt at the next target, and
  * went on with the freed connections of that target (review/1). */
@@ -281,9 +304,7 @@
   jd_test_run_loop (fixture.loop, 0.01);
   send_request (&fixture, 0, 0, 60 * JD_US_PER_S, &waiting);
   jd_replica_registry_set_zone_drained (fixture.registry, "a", true);
-  static const char answer[] = "HTTP/1.1 200 OK\r\nS: s1\r\nContent-Length: 0\r\n\r\n";
-  CU_ASSERT_EQUAL (send (connection, answer, strlen (answer), 0),
-                   (ssize_t)strlen (answer));
+  answer (connection, "HTTP/1.1 200 OK\r\nS: s1\r\nContent-Length: 0\r\n\r\n");
   run_until_done (&fixture, &waiting);
   CU_ASSERT_EQUAL (running.outcome, JD_REPLICA_OK);
   CU_ASSERT_EQUAL (waiting.done_count, 1);
@@ -297,14 +318,13 @@
  * without a length. Returns the target's side of the connection. */
 static int
 answer_unsent_request (jd_links_fixture_t *fixture, jd_links_owner_t *owner,
-                       const char *answer)
+                       const char *text)
 {
   open_fixture (fixture, 1);
   send_request (fixture, 0, LONG_BODY_BYTES, 60 * JD_US_PER_S, owner);
   int connection = accept_connection (fixture, 0);
   jd_test_run_loop (fixture->loop, 0.05);
-  CU_ASSERT_EQUAL (send (connection, answer, strlen (answer), 0),
-                   (ssize_t)strlen (answer));
+  answer (connection, text);
   return connection;
 }
 
@@ -345,6 +365,60 @@
   close_fixture (&fixture);
 }
 
+#define REJECTION                                                                        \
+  "HTTP/1.1 503 Service Unavailable\r\nI: r1\r\nN: 1\r\nO: 0,0,4\r\n"                    \
+  "Content-Length: 0\r\n\r\n"
+#define OWN_ANSWER "HTTP/1.1 200 OK\r\nI: r1\r\nS: s1\r\nContent-Length: 2\r\n\r\nok"
+
+/* A target rejects an edit and gets it again; a late copy of the rejection arrives on the
+ * first connection. */
+static void
+play_late_copy_of_rejection (uint32_t max_connections)
+{
+  jd_links_fixture_t fixture;
+  jd_links_owner_t first = { 0 }, second = { 0 };
+  open_fixture (&fixture, 1);
+  jd_replica_pool_t *pool = target (&fixture, 0)->pool;
+  pool->max_connections = max_connections;
+  pool->learns_rejections = true;
+  jd_outgoing_request_t *outgoing = new_request (0, 60 * JD_US_PER_S);
+  send_attempt (&fixture, 0, outgoing, &first);
+  int connection = accept_connection (&fixture, 0);
+  answer (connection, REJECTION);
+  run_until_done (&fixture, &first);
+  CU_ASSERT_EQUAL (first.outcome, JD_REPLICA_REJECTED);
+  send_attempt (&fixture, 0, outgoing, &second);
+  send (connection, REJECTION, strlen (REJECTION), MSG_NOSIGNAL);
+  int other_connection = accept_connection (&fixture, 0);
+  jd_test_run_loop (fixture.loop, 0.05);
+  CU_ASSERT_EQUAL (second.done_count, 0);
+  answer (other_connection, OWN_ANSWER);
+  run_until_done (&fixture, &second);
+  CU_ASSERT_EQUAL (second.done_count, 1);
+  CU_ASSERT_EQUAL (second.outcome, JD_REPLICA_OK);
+  CU_ASSERT_STRING_EQUAL (second.body, "ok");
+  jd_outgoing_request_unref (outgoing);
+  close (connection);
+  close (other_connection);
+  close_fixture (&fixture);
+}
+
+/* Guards against an edit that runs twice: a late copy of a rejection, on the connection
+ * that the next attempt used too, counted as its answer (review/6). */
+static void
+late_copy_of_rejection_ends_no_other_attempt (void)
+{
+  play_late_copy_of_rejection (8);
+}
+
+/* Guards against the same where the host may hold one connection only, and against an
+ * attempt that waits for its deadline because that connection carried an earlier one. */
+static void
+late_copy_is_told_apart_with_one_connection (void)
+{
+  play_late_copy_of_rejection (1);
+}
+
 int
 main (void)
 {
@@ -358,6 +432,10 @@
       reset_answer_to_unsent_request_is_broken },
     { "closed answer to unsent request is whole",
       closed_answer_to_unsent_request_is_whole },
+    { "late copy of rejection ends no other attempt",
+      late_copy_of_rejection_ends_no_other_attempt },
+    { "late copy is told apart with one connection",
+      late_copy_is_told_apart_with_one_connection },
   };
   return JD_TEST_RUN ("replica_links", cases);
 }
