fix(membership): bound the age of records whatever sources are lost

Cause: waits that add up under one limit. A host followed a silent source of its zone until its records were 2.25 s old, then waited up to 1.5 s for a copy from another lost host, and meanwhile neither took other offers nor read the store, which was reachable. Ruled out: the read of the store (4 ms), the adoption of what was read. Change: membership/record_plan decides all waits from one budget, the age of the records: at 68 to 75% of the limit a host reads the store itself beside a running copy, hosts of a zone one after the other; a call takes at most half of the time that is left, and a read that hung is repeated at once. A silent host is not the reader of its zone at that age, and a source of a failed copy is left out until its next message.

--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -9,13 +9,6 @@
 #include "config/settings.h"
 #include "transport/socket_address.h"
 
-/* Reads of the records within the limit for applying a drain or a configuration. */
-#define READS_PER_CHANGE_LIMIT 3
-/* Share of this limit, in percent, after which records are too old to follow another host
- * or to deny a request for good. The rest is for a read of the store by this host. */
-#define SOURCE_AGE_PERCENT 75
-#define READ_INTERVAL_MIN_US (300 * JD_US_PER_MS)
-#define READ_INTERVAL_MAX_US (2 * JD_US_PER_S)
 #define GOSSIP_INTERVAL_S 0.25
 /* A host that started less than this long ago may have heard only some of the others, and
  * would take too large shares of the limits. */
@@ -536,16 +529,13 @@
   host->feed = jd_record_feed_new (&host->platform.feed_events);
   host->quota = jd_fleet_quota_new (settings->first_start);
   host->peers = jd_peer_table_new (host->ip, host->zone);
-  int64_t change_limit_us = MIN (settings->drain_limit_us, settings->config_limit_us);
   jd_record_source_options_t source = {
     .loop = host->loop,
     .feed = host->feed,
     .peers = host->peers,
     .peer_port = settings->peer_port,
     .is_first_start = settings->first_start,
-    .max_age_us = change_limit_us / 100 * SOURCE_AGE_PERCENT,
-    .read_interval_us = CLAMP (change_limit_us / READS_PER_CHANGE_LIMIT,
-                               READ_INTERVAL_MIN_US, READ_INTERVAL_MAX_US),
+    .change_limit_us = MIN (settings->drain_limit_us, settings->config_limit_us),
     .heartbeat_interval_us = settings->heartbeat_interval_us,
     .read_store = host->platform.read_store,
     .store_context = host->platform.store_context,
--- a/src/daemons/host.h
+++ b/src/daemons/host.h
@@ -32,7 +32,7 @@
   const char *readiness_path;
   /* Starts an asynchronous read of the published records from the store. The adapter
    * calls jd_host_on_store_read when the read ends. */
-  void (*read_store) (void *context);
+  void (*read_store) (void *context, int64_t call_limit_us);
   void *store_context;
 } jd_host_platform_t;
 
--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -7,20 +7,16 @@
 
 #include "base/clock.h"
 #include "base/log_event.h"
+#include "membership/record_plan.h"
 #include "transport/http_call.h"
 #include "transport/wire_reader.h"
 
 #define FORMAT_VERSION 2
-/* A full copy is about 20 kB compressed. Many hosts may request one at the same time over
- * a link of 20 Mbit/s. */
-#define COPY_TIMEOUT_US (1500 * JD_US_PER_MS)
 #define COPY_BYTES_MAX ((size_t)32 * 1024 * 1024)
 #define RECORDS_MAX (1U << 20)
 /* A host whose last successful read of the store is older than this many read intervals
  * does not count as a reader of the store. */
 #define READ_AGE_MAX_INTERVALS 3
-/* Minimum time between a failed read of the store and the next one. */
-#define STORE_RETRY_US (700 * JD_US_PER_MS)
 /* Least time for which removals are held after an outage of the store. Targets whose
  * records expired write them again within about 2 s of its end; the rest covers the
  * next read of the store and the copy to the other hosts. */
@@ -28,15 +24,10 @@
 /* Time for which removals are held without an outage, in percent of the time within which
  * a removed target must get no more requests. The rest is for reading and copying. */
 #define SHORT_HOLD_PERCENT 40
-/* Longest time between reads during an outage and while removals are held after it. */
-#define RECOVERY_INTERVAL_US (500 * JD_US_PER_MS)
 /* Removals are held after an outage longer than this many heartbeat intervals. A record
  * expires after three missed heartbeats, and the first may have been due when the outage
  * began. */
 #define OUTAGE_MIN_HEARTBEATS 2
-/* Shortest time between two steps of a host that copies, so that failed copies do not
- * load their source. */
-#define STEP_MIN_US (200 * JD_US_PER_MS)
 /* Time that a starting host waits for gossip of other hosts before it reads the store. */
 #define FIRST_READ_DELAY_S 0.05
 
@@ -45,15 +36,21 @@
 #define REVISION_ARGS(revision)                                                          \
   jd_record_revision_number (revision), jd_record_revision_generation (revision)
 
+static void take_step (jd_record_source_t *source);
+
 struct jd_record_source
 {
   jd_record_source_options_t options;
+  jd_record_budget_t budget;
   jd_http_client_t *client;
   ev_timer timer;
-  int64_t last_read_us;     /* Request time of the last successful read of the store. */
-  int64_t next_read_min_us; /* Earliest time of the next read of the store. */
+  int64_t started_us;
+  int64_t last_read_us;    /* Request time of the last successful read of the store. */
+  int64_t read_again_us;   /* Earliest time of the next read of the store. */
+  int64_t read_started_us; /* Start of the running or last read of the store. */
   int64_t copy_requested_us;
-  jd_name_t copy_peer_name;   /* Host that the running or last copy comes from. */
+  uint32_t copy_peer_ip; /* Host that the running or last copy comes from. */
+  jd_name_t copy_peer_name;
   bool is_store_read_running; /* A read of the store is running. */
   bool store_failed;
   bool needs_full_copy; /* No copy has been read since the start. Another host may know
@@ -67,7 +64,7 @@
 static int64_t
 read_age_max_us (const jd_record_source_t *source)
 {
-  return READ_AGE_MAX_INTERVALS * source->options.read_interval_us;
+  return READ_AGE_MAX_INTERVALS * source->budget.read_interval_us;
 }
 
 /* Returns the time for which removals are held after an outage of the store: until it has
@@ -77,7 +74,7 @@
 removal_hold_us (const jd_record_source_t *source)
 {
   return MAX (REMOVAL_HOLD_MIN_US,
-              source->options.store_stable_us - source->options.read_interval_us);
+              source->options.store_stable_us - source->budget.read_interval_us);
 }
 
 /* Handles the return of the store from an older copy of its records, which lacks changes
@@ -118,7 +115,7 @@
 jd_record_source_is_current (const jd_record_source_t *source, int64_t now_us)
 {
   int64_t as_of_us = jd_record_feed_as_of_us (source->options.feed);
-  return as_of_us > 0 && now_us - as_of_us < source->options.max_age_us;
+  return as_of_us > 0 && now_us - as_of_us < source->budget.own_read_max_us;
 }
 
 /* Logs a change between reading the store and copying from a peer. */
@@ -141,9 +138,27 @@
     source->options.on_changed (source->options.context);
 }
 
+/* Returns the state of this host's records for the decision on the next step. */
+static jd_record_view_t
+view_records (const jd_record_source_t *source, int64_t now_us)
+{
+  const jd_record_feed_t *feed = source->options.feed;
+  return (jd_record_view_t){
+    .revision = jd_record_feed_revision (feed),
+    .as_of_us = jd_record_feed_as_of_us (feed),
+    .started_us = source->started_us,
+    .read_again_us = source->read_again_us,
+    .reads_store = jd_record_source_reads_store (source, now_us),
+    .store_failed = source->store_failed,
+    .is_reading = source->is_store_read_running,
+    .is_copying = jd_http_client_is_busy (source->client),
+    .needs_full_copy = source->needs_full_copy,
+    .holds_removals = jd_record_feed_removals_held_until_us (feed) > now_us,
+  };
+}
+
 /* Handles the end of a store read. `requested_us` is the time at which the read started;
- * the records are at least that recent. After a failure the next read waits for
- * STORE_RETRY_US. */
+ * the records are at least that recent. After a failure the next step is planned anew. */
 void
 jd_record_source_on_store_read (jd_record_source_t *source, bool success,
                                 int64_t requested_us)
@@ -157,7 +172,10 @@
             G_LOG_LEVEL_WARNING, "store_lost", "last_read_ms=%" G_GINT64_FORMAT,
             source->last_read_us ? (now_us - source->last_read_us) / JD_US_PER_MS : -1);
       source->store_failed = true;
-      source->next_read_min_us = now_us + STORE_RETRY_US;
+      jd_record_view_t view = view_records (source, now_us);
+      source->read_again_us = jd_record_plan_read_again_us (
+          &source->budget, &view, source->read_started_us, now_us);
+      take_step (source);
       return;
     }
   if (source->store_failed)
@@ -166,6 +184,7 @@
                   REVISION_ARGS (jd_record_feed_revision (source->options.feed)),
                   (now_us - source->last_read_us) / JD_US_PER_MS);
   source->store_failed = false;
+  source->read_again_us = 0;
   source->last_read_us = requested_us;
   source->options.on_changed (source->options.context);
 }
@@ -264,6 +283,16 @@
   return !failure;
 }
 
+/* Handles a copy that failed: its source is not asked again before it has sent another
+ * message, and the next step is due at once. */
+static void
+handle_failed_copy (jd_record_source_t *source)
+{
+  jd_peer_table_copy_failed (source->options.peers, source->copy_peer_ip,
+                             jd_monotonic_us ());
+  take_step (source);
+}
+
 /* HTTP callback: applies the copy of a peer, or logs its failure. */
 static void
 on_copy_done (void *context, jd_http_call_outcome_t outcome,
@@ -272,15 +301,21 @@
   jd_record_source_t *source = context;
   if (!reply || reply->parser.status_code != 200)
     {
-      jd_log_event (G_LOG_LEVEL_INFO, "copy_failed", "outcome=%s status=%u",
-                    jd_http_call_outcome_name (outcome),
-                    reply ? reply->parser.status_code : 0);
+      jd_log_event (G_LOG_LEVEL_INFO, "copy_failed",
+                    "from=%s outcome=%s status=%u ms=%" G_GINT64_FORMAT,
+                    source->copy_peer_name, jd_http_call_outcome_name (outcome),
+                    reply ? reply->parser.status_code : 0,
+                    (jd_monotonic_us () - source->copy_requested_us) / JD_US_PER_MS);
+      handle_failed_copy (source);
       return;
     }
   int64_t previous_revision = jd_record_feed_changed_revision (source->options.feed);
   int64_t requested_after = jd_record_feed_revision (source->options.feed);
   if (!apply_copy (source, reply->body))
-    return;
+    {
+      handle_failed_copy (source);
+      return;
+    }
   source->needs_full_copy = false;
   jd_log_event (G_LOG_LEVEL_INFO, "records_copied",
                 "from=%s after=%" G_GINT64_FORMAT " " REVISION_FORMAT
@@ -292,8 +327,8 @@
   notify_changes (source, previous_revision);
 }
 
-/* Starts a copy of the changes that a peer has and this host lacks, unless a copy is
- * already running. If there are none, only advances the revision and time of the feed. */
+/* Starts a copy of the changes that a peer has and this host lacks. If there are none,
+ * only advances the revision and time of the feed. No copy may be running. */
 static void
 follow_peer (jd_record_source_t *source, const jd_peer_t *peer)
 {
@@ -305,8 +340,6 @@
                               peer->last_message_us - peer->state.feed_age_us);
       return;
     }
-  if (jd_http_client_is_busy (source->client))
-    return;
   struct sockaddr_in address = {
     .sin_family = AF_INET,
     .sin_port = htons (source->options.peer_port),
@@ -314,19 +347,22 @@
   };
   char target[64];
   g_snprintf (target, sizeof (target), "/records?after=%" G_GINT64_FORMAT, revision);
-  source->copy_requested_us = jd_monotonic_us ();
+  int64_t now_us = jd_monotonic_us ();
+  jd_record_view_t view = view_records (source, now_us);
+  source->copy_requested_us = now_us;
+  source->copy_peer_ip = peer->state.ip;
   g_strlcpy (source->copy_peer_name, peer->state.name, sizeof (source->copy_peer_name));
   jd_http_client_set_address (source->client, &address);
-  jd_http_client_get (source->client, target, COPY_TIMEOUT_US, on_copy_done, source);
+  jd_http_client_get (source->client, target,
+                      jd_record_plan_copy_limit_us (&source->budget, &view, now_us),
+                      on_copy_done, source);
 }
 
-/* Starts a read of the store, unless one is running or the last one has just failed.
- * Holds removals if the outage was long enough for records to have expired. */
+/* Starts a read of the store. Holds removals if the outage was long enough for records to
+ * have expired. */
 static void
-read_store (jd_record_source_t *source, int64_t now_us)
+read_store (jd_record_source_t *source, int64_t call_limit_us, int64_t now_us)
 {
-  if (source->is_store_read_running || now_us < source->next_read_min_us)
-    return;
   int64_t as_of_us = jd_record_feed_as_of_us (source->options.feed);
   bool is_long_outage =
       as_of_us > 0 && source->store_failed &&
@@ -335,47 +371,38 @@
     jd_record_feed_hold_removals (source->options.feed,
                                   now_us + removal_hold_us (source));
   source->is_store_read_running = true;
-  source->options.read_store (source->options.store_context);
+  source->read_started_us = now_us;
+  source->options.read_store (source->options.store_context, call_limit_us);
 }
 
-/* Returns the time until the next step. A host that copies takes it at the latest when
- * its records reach the age at which it reads the store itself, because its source may
- * have ended without a word. */
-static int64_t
-next_step_in_us (const jd_record_source_t *source, bool should_read, int64_t now_us)
+/* Reads the store or copies from a peer, and sets the time of the next step. A host whose
+ * records get too old reads the store beside a copy that is running. */
+static void
+take_step (jd_record_source_t *source)
 {
-  const jd_record_feed_t *feed = source->options.feed;
-  int64_t step_us = source->options.read_interval_us;
-  if (source->store_failed || jd_record_feed_removals_held_until_us (feed) > now_us)
-    step_us = MIN (step_us, RECOVERY_INTERVAL_US);
-  int64_t as_of_us = jd_record_feed_as_of_us (feed);
-  if (should_read || as_of_us == 0)
-    return step_us;
-  int64_t expires_in_us = as_of_us + source->options.max_age_us - now_us;
-  return MIN (step_us, MAX (expires_in_us, STEP_MIN_US));
+  int64_t now_us = jd_monotonic_us ();
+  jd_record_view_t view = view_records (source, now_us);
+  jd_record_plan_t plan =
+      jd_record_plan_choose (&source->budget, source->options.peers, &view, now_us);
+  log_role_change (source, plan.is_reader);
+  if (plan.is_own_read_due && plan.starts_read)
+    jd_log_event (G_LOG_LEVEL_INFO, "own_read_due",
+                  "age_ms=%" G_GINT64_FORMAT " copying=%d copying_from=%s",
+                  (now_us - view.as_of_us) / JD_US_PER_MS, view.is_copying,
+                  source->copy_peer_name);
+  source->timer.repeat = (double)plan.next_step_in_us / (double)JD_US_PER_S;
+  ev_timer_again (source->options.loop, &source->timer);
+  if (plan.starts_read)
+    read_store (source, plan.read_limit_us, now_us);
+  if (plan.source)
+    follow_peer (source, plan.source);
 }
 
-/* Timer callback: reads the store or copies from a peer, and sets the time of the next
- * step. */
+/* Timer callback: the next step is due. */
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
-  jd_record_source_t *source = timer->data;
-  int64_t now_us = jd_monotonic_us ();
-  const jd_peer_t *peer = jd_peer_table_best_source (
-      source->options.peers, jd_record_feed_revision (source->options.feed),
-      source->options.max_age_us, now_us);
-  bool is_current_reader = jd_record_source_reads_store (source, now_us);
-  bool should_read = !peer || jd_peer_table_should_read (source->options.peers,
-                                                         is_current_reader, now_us);
-  log_role_change (source, should_read);
-  if (should_read)
-    read_store (source, now_us);
-  if (peer && (!should_read || source->store_failed || source->needs_full_copy))
-    follow_peer (source, peer);
-  timer->repeat =
-      (double)next_step_in_us (source, should_read, now_us) / (double)JD_US_PER_S;
-  ev_timer_again (loop, timer);
+  take_step (timer->data);
 }
 
 /* Handles a state message of a peer: copies at once if a peer has newer records and this
@@ -384,11 +411,9 @@
 jd_record_source_on_peer_state (jd_record_source_t *source)
 {
   int64_t now_us = jd_monotonic_us ();
-  if (jd_record_source_reads_store (source, now_us) && !source->needs_full_copy)
-    return;
-  const jd_peer_t *peer = jd_peer_table_best_source (
-      source->options.peers, jd_record_feed_revision (source->options.feed),
-      source->options.max_age_us, now_us);
+  jd_record_view_t view = view_records (source, now_us);
+  const jd_peer_t *peer =
+      jd_record_plan_offer (&source->budget, source->options.peers, &view, now_us);
   if (peer)
     follow_peer (source, peer);
 }
@@ -399,10 +424,12 @@
 {
   jd_record_source_t *source = g_new0 (jd_record_source_t, 1);
   source->options = *options;
+  source->budget = jd_record_budget_new (options->change_limit_us);
+  source->started_us = jd_monotonic_us ();
   source->needs_full_copy = !options->is_first_start;
   source->client = jd_http_client_new (options->loop, COPY_BYTES_MAX);
   ev_timer_init (&source->timer, on_timer, FIRST_READ_DELAY_S,
-                 (double)options->read_interval_us / (double)JD_US_PER_S);
+                 (double)source->budget.read_interval_us / (double)JD_US_PER_S);
   source->timer.data = source;
   ev_timer_start (options->loop, &source->timer);
   return source;
--- a/src/daemons/record_source.h
+++ b/src/daemons/record_source.h
@@ -16,13 +16,14 @@
   jd_record_feed_t *feed;
   jd_peer_table_t *peers;
   uint16_t peer_port;
-  bool is_first_start; /* All hosts start for the first time and know nothing yet. */
-  int64_t max_age_us;  /* Records that are older may lack changes that have to apply. */
-  int64_t read_interval_us;      /* Time between two reads. */
+  bool is_first_start;     /* All hosts start for the first time and know nothing yet. */
+  int64_t change_limit_us; /* Time within which a change has to be in force. */
   int64_t heartbeat_interval_us; /* Time between two writes of a target's record. */
   int64_t store_stable_us; /* Time after an outage until the store is trusted again; see
                               jd_record_source_apply_limits. */
-  void (*read_store) (void *context);
+  /* Starts a read of the store, each call of which may take call_limit_us. Its end is
+   * reported to jd_record_source_on_store_read. */
+  void (*read_store) (void *context, int64_t call_limit_us);
   void *store_context;
   /* Called when records have changed and after each successful read of the store, so that
    * the owner sends its new state to its peers. */
--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -327,13 +327,50 @@
   return count;
 }
 
+/* Returns TRUE if a live host of this zone is not leaving. */
+static bool
+is_zone_host (const jd_peer_table_t *table, const jd_peer_t *peer, int64_t now_us)
+{
+  return is_live (table, peer, now_us) && !peer->state.leaving &&
+         strcmp (peer->state.zone, table->own_zone) == 0;
+}
+
+/* Returns the age of a host's records now, from its last message. */
+static int64_t
+records_age_us (const jd_peer_t *peer, int64_t now_us)
+{
+  return peer->state.feed_age_us + now_us - peer->last_message_us;
+}
+
+/* Returns the index of this host, from 0, among the live hosts of its zone ordered by
+ * address, and writes their number to hosts, this one included. */
+uint32_t
+jd_peer_table_zone_rank (const jd_peer_table_t *table, uint32_t *hosts, int64_t now_us)
+{
+  uint32_t rank = 0;
+  *hosts = 1;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, table->by_ip);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const jd_peer_t *peer = value;
+      if (!is_zone_host (table, peer, now_us))
+        continue;
+      (*hosts)++;
+      rank += peer->state.ip < table->own_ip;
+    }
+  return rank;
+}
+
 /* Returns TRUE if this host should read the store itself: no other live host of its zone
- * does, not counting hosts that are leaving and, if this host reads the store now, hosts
- * with a higher address. A returning host does not take
- * over from one that reads, because the hosts that copy would then copy all records. */
+ * does, not counting hosts that are leaving, hosts whose records are at least max_age_us
+ * old, which may be lost, and, if this host reads the store now, hosts with a higher
+ * address. A returning host does not take over from one that reads, because the hosts
+ * that copy would then copy all records. */
 bool
 jd_peer_table_should_read (const jd_peer_table_t *table, bool reads_store_now,
-                           int64_t now_us)
+                           int64_t max_age_us, int64_t now_us)
 {
   GHashTableIter iter;
   gpointer value;
@@ -341,19 +378,38 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const jd_peer_t *peer = value;
-      if (is_live (table, peer, now_us) && peer->state.reads_store &&
-          !peer->state.leaving && strcmp (peer->state.zone, table->own_zone) == 0 &&
+      if (is_zone_host (table, peer, now_us) && peer->state.reads_store &&
+          records_age_us (peer, now_us) < max_age_us &&
           (!reads_store_now || peer->state.ip < table->own_ip))
         return false;
     }
   return true;
 }
 
-/* Returns the host to copy records from, or NULL if there is none: a live host that reads
- * the store, is not leaving and has records at most max_age_us old, of no earlier
- * generation of the store than this host's. Prefers one of a later generation, then one
- * that has all changes after own_revision, then one of this zone, then one with more
- * recent records. The result is valid until the table changes. */
+/* Records that a copy from a host failed. The host may be lost, so it is no source until
+ * its next message. */
+void
+jd_peer_table_copy_failed (jd_peer_table_t *table, uint32_t ip, int64_t now_us)
+{
+  jd_peer_t *peer = find_peer (table, ip);
+  if (peer)
+    peer->copy_failed_us = now_us;
+}
+
+/* Returns TRUE if records can be copied from a host: it is live, reads the store, is not
+ * leaving and has sent a message since a copy from it failed. */
+static bool
+is_source (const jd_peer_table_t *table, const jd_peer_t *peer, int64_t now_us)
+{
+  return is_live (table, peer, now_us) && peer->state.reads_store &&
+         !peer->state.leaving && peer->last_message_us > peer->copy_failed_us;
+}
+
+/* Returns the host to copy records from, or NULL if there is none: a source with records
+ * at most max_age_us old, of no earlier generation of the store than this host's. Prefers
+ * one of a later generation, then one that has all changes after own_revision, then one
+ * of this zone, then one with more recent records. The result is valid until the table
+ * changes. */
 const jd_peer_t *
 jd_peer_table_best_source (const jd_peer_table_t *table, int64_t own_revision,
                            int64_t max_age_us, int64_t now_us)
@@ -367,10 +423,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const jd_peer_t *peer = value;
-      if (!is_live (table, peer, now_us) || peer->state.leaving ||
-          !peer->state.reads_store)
+      if (!is_source (table, peer, now_us))
         continue;
-      int64_t age_us = peer->state.feed_age_us + now_us - peer->last_message_us;
+      int64_t age_us = records_age_us (peer, now_us);
       uint32_t generation = jd_record_revision_generation (peer->state.feed_revision);
       if (age_us >= max_age_us || generation < own_generation)
         continue;
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -29,7 +29,8 @@
       last_message_us;  /* Time of the last message; 0 while only the address is known. */
   int64_t last_send_us; /* Time of the last message to the host; 0 for none. */
   int64_t added_us;
-  bool is_seed; /* An address of the settings, which stays. */
+  int64_t copy_failed_us; /* Time at which a copy from the host last failed; 0: never. */
+  bool is_seed;           /* An address of the settings, which stays. */
 } jd_peer_t;
 
 /* The other hosts of the fleet, with the last state that each reported. */
@@ -57,8 +58,11 @@
 uint32_t jd_peer_table_live_count (const jd_peer_table_t *table, int64_t now_us);
 uint32_t jd_peer_table_due_ips (jd_peer_table_t *table, uint32_t *ips, uint32_t max,
                                 int64_t now_us);
+uint32_t jd_peer_table_zone_rank (const jd_peer_table_t *table, uint32_t *hosts,
+                                  int64_t now_us);
 bool jd_peer_table_should_read (const jd_peer_table_t *table, bool reads_store_now,
-                                int64_t now_us);
+                                int64_t max_age_us, int64_t now_us);
+void jd_peer_table_copy_failed (jd_peer_table_t *table, uint32_t ip, int64_t now_us);
 const jd_peer_t *jd_peer_table_best_source (const jd_peer_table_t *table,
                                             int64_t own_revision, int64_t max_age_us,
                                             int64_t now_us);
--- a/test/process/test_record_source.c
+++ b/test/process/test_record_source.c
@@ -1,8 +1,13 @@
+#include <arpa/inet.h>
 #include <signal.h>
 #include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clock.h"
+#include "daemons/record_source.h"
 #include "support/host_lab.h"
+#include "support/loop_run.h"
 #include "support/test_main.h"
 
 #define SHARDS 2U
@@ -267,10 +272,112 @@
   jd_host_fixture_close (&fixture);
 }
 
+#define LOST_SOURCES 3U
+#define LOST_INTERVAL_US (400 * JD_US_PER_MS)
+#define LOST_LIMIT_US (2 * JD_US_PER_S)
+
+static int64_t store_read_us;
+
+/* Source callback: notes the time of the first read of the store. */
+static void
+note_store_read (void *context, int64_t call_limit_us)
+{
+  if (store_read_us == 0)
+    store_read_us = jd_monotonic_us ();
+}
+
+static void
+ignore_change (void *context)
+{
+}
+
+/* Opens the port of a host that has lost power: connections to it get no answer. Sets the
+ * port if it is 0. */
+static int
+open_lost_host (uint32_t ip, uint16_t *port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (*port),
+                                 .sin_addr = { .s_addr = htonl (ip) } };
+  socklen_t size = sizeof (address);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&address, size), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (fd, 16), 0);
+  getsockname (fd, (struct sockaddr *)&address, &size);
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+/* Receives the last message of a host: it has just read a newer configuration. */
+static void
+receive_last_message (jd_peer_table_t *peers, uint32_t ip, uint32_t number)
+{
+  jd_peer_state_t state = { .ip = ip,
+                            .incarnation = 1,
+                            .sequence = 1,
+                            .reads_store = true,
+                            .feed_revision = 5 + number,
+                            .changed_revision = 5 + number,
+                            .tombstones_since = 1 };
+  g_snprintf (state.zone, sizeof (state.zone), "zone-%u", number);
+  g_snprintf (state.name, sizeof (state.name), "host-%u", number);
+  jd_peer_table_update (peers, &state, jd_monotonic_us ());
+}
+
+/* Guards against hosts that act on an old configuration because the hosts from which they
+ * copy are lost one after the other: the waits for each of them added up to more than the
+ * limit, although the store could be read all the while (review/7). */
+static void
+waits_for_lost_sources_do_not_add_up (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  uint32_t own_ip = INADDR_LOOPBACK;
+  uint16_t port = 0;
+  int listeners[LOST_SOURCES];
+  for (uint32_t i = 0; i < LOST_SOURCES; i++)
+    listeners[i] = open_lost_host (own_ip + 1 + i, &port);
+  jd_feed_events_t events = { 0 };
+  jd_record_feed_t *feed = jd_record_feed_new (&events);
+  jd_peer_table_t *peers = jd_peer_table_new (own_ip, "zone-0");
+  int64_t start_us = jd_monotonic_us ();
+  jd_record_feed_advance (feed, 5, start_us);
+  receive_last_message (peers, own_ip + 1, 0);
+  jd_record_source_options_t options = {
+    .loop = loop,
+    .feed = feed,
+    .peers = peers,
+    .peer_port = port,
+    .is_first_start = true,
+    .change_limit_us = LOST_LIMIT_US,
+    .heartbeat_interval_us = JD_US_PER_S,
+    .read_store = note_store_read,
+    .on_changed = ignore_change,
+  };
+  store_read_us = 0;
+  jd_record_source_t *source = jd_record_source_new (&options);
+  for (uint32_t i = 1; i < LOST_SOURCES; i++)
+    {
+      jd_test_run_loop (loop, (double)LOST_INTERVAL_US / (double)JD_US_PER_S);
+      receive_last_message (peers, own_ip + 1 + i, i);
+      jd_record_source_on_peer_state (source);
+    }
+  while (store_read_us == 0 && jd_monotonic_us () < start_us + 4 * LOST_LIMIT_US)
+    jd_test_run_loop (loop, 0.02);
+  printf ("%.2f s ", (double)(store_read_us - start_us) / (double)JD_US_PER_S);
+  CU_ASSERT_TRUE (store_read_us > 0 && store_read_us - start_us < LOST_LIMIT_US);
+  jd_record_source_free (source);
+  jd_peer_table_free (peers);
+  jd_record_feed_free (feed);
+  for (uint32_t i = 0; i < LOST_SOURCES; i++)
+    close (listeners[i]);
+  ev_loop_destroy (loop);
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
+    { "waits for lost sources do not add up", waits_for_lost_sources_do_not_add_up },
     { "changes apply in time after the reader is killed",
       changes_apply_in_time_after_the_reader_is_killed },
     { "old configuration denies no request", old_configuration_denies_no_request },
--- a/test/unit/test_peer_table.c
+++ b/test/unit/test_peer_table.c
@@ -123,13 +123,13 @@
 one_host_per_zone_reads_the_store (void)
 {
   jd_peer_table_t *table = jd_peer_table_new (5, "a");
-  CU_ASSERT_TRUE (jd_peer_table_should_read (table, false, SECOND_US));
+  CU_ASSERT_TRUE (jd_peer_table_should_read (table, false, MAX_AGE_US, SECOND_US));
   receive_state (table, 9, "a", 1, true, SECOND_US);
-  CU_ASSERT_FALSE (jd_peer_table_should_read (table, false, SECOND_US));
-  CU_ASSERT_TRUE (jd_peer_table_should_read (table, true, SECOND_US));
+  CU_ASSERT_FALSE (jd_peer_table_should_read (table, false, MAX_AGE_US, SECOND_US));
+  CU_ASSERT_TRUE (jd_peer_table_should_read (table, true, MAX_AGE_US, SECOND_US));
   receive_state (table, 1, "a", 1, true, SECOND_US);
-  CU_ASSERT_FALSE (jd_peer_table_should_read (table, true, SECOND_US));
-  CU_ASSERT_TRUE (jd_peer_table_should_read (table, false, 10 * SECOND_US));
+  CU_ASSERT_FALSE (jd_peer_table_should_read (table, true, MAX_AGE_US, SECOND_US));
+  CU_ASSERT_TRUE (jd_peer_table_should_read (table, false, MAX_AGE_US, 10 * SECOND_US));
   jd_peer_table_free (table);
 }
 
@@ -159,6 +159,49 @@
   jd_peer_table_free (table);
 }
 
+/* Guards against copies that are requested from a lost host again and again: after a copy
+ * failed, its source is not chosen before it has sent another message. */
+static void
+lost_source_is_not_chosen_again (void)
+{
+  jd_peer_table_t *table = jd_peer_table_new (5, "a");
+  receive_state (table, 1, "a", 1, true, SECOND_US);
+  receive_state (table, 2, "b", 1, true, SECOND_US);
+  int64_t now_us = SECOND_US + SECOND_US / 2;
+  jd_peer_table_copy_failed (table, 1, now_us);
+  jd_peer_table_copy_failed (table, 77, now_us);
+  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, now_us)->state.ip,
+                   2);
+  jd_peer_table_copy_failed (table, 2, now_us);
+  CU_ASSERT_PTR_NULL (jd_peer_table_best_source (table, 10, MAX_AGE_US, now_us));
+  now_us += SECOND_US;
+  receive_state (table, 1, "a", 2, true, now_us);
+  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, now_us)->state.ip,
+                   1);
+  jd_peer_table_free (table);
+}
+
+/* Guards against a lost host that counts as the reader of its zone for seconds, and
+ * against hosts of other zones in the order in which a zone reads the store. */
+static void
+silent_reader_does_not_count (void)
+{
+  jd_peer_table_t *table = jd_peer_table_new (5, "a");
+  receive_state (table, 1, "a", 1, true, SECOND_US);
+  receive_state (table, 2, "b", 1, true, SECOND_US);
+  receive_state (table, 9, "a", 1, false, SECOND_US);
+  CU_ASSERT_FALSE (
+      jd_peer_table_should_read (table, false, MAX_AGE_US, SECOND_US + MAX_AGE_US - 1));
+  CU_ASSERT_TRUE (
+      jd_peer_table_should_read (table, false, MAX_AGE_US, SECOND_US + MAX_AGE_US));
+  uint32_t hosts = 0;
+  CU_ASSERT_EQUAL (jd_peer_table_zone_rank (table, &hosts, 2 * SECOND_US), 1);
+  CU_ASSERT_EQUAL (hosts, 3);
+  CU_ASSERT_EQUAL (jd_peer_table_zone_rank (table, &hosts, 10 * SECOND_US), 0);
+  CU_ASSERT_EQUAL (hosts, 1);
+  jd_peer_table_free (table);
+}
+
 int
 main (void)
 {
@@ -171,6 +214,8 @@
     { "one host per zone reads the store", one_host_per_zone_reads_the_store },
     { "host of own zone with changes is copied",
       host_of_own_zone_with_changes_is_copied },
+    { "lost source is not chosen again", lost_source_is_not_chosen_again },
+    { "silent reader does not count", silent_reader_does_not_count },
   };
   return JD_TEST_RUN ("peer_table", cases);
 }
