fix(limits): bound what running requests of all sizes hold together

Cause: large requests start only while the running ones hold at most 75% of the byte budget, but small ones always started, because as many as the host runs at a time fit alone. Beside large ones they do not, and the running request with the most bytes was cut. Ruled out: requests being received and answers being read; they are not protected and give way first. Change: small requests start while the running ones hold at most 90%.

--- a/src/limits/byte_budget.c
+++ b/src/limits/byte_budget.c
@@ -1,8 +1,10 @@
 #include "limits/byte_budget.h"
 
-/* Share of the limit, in percent, that protected holders may take before a large request
- * starts. The rest is for answers and for requests that are being received. */
-#define ADMISSION_PERCENT 75
+/* Shares of the limit, in percent, that protected holders may take together when a large
+ * or a small request starts. Small ones have a part of their own, so that large ones do
+ * not keep them out. The rest is for answers and for requests that are being received. */
+#define LARGE_ADMISSION_PERCENT 75
+#define SMALL_ADMISSION_PERCENT 90
 
 /* Initializes a budget without holders. */
 void
@@ -70,15 +72,15 @@
   return first;
 }
 
-/* Returns TRUE if a request that holds some bytes, not protected yet, may start. While
- * those that run take most of the budget, only small ones may, of which max_requests fit.
- */
+/* Returns TRUE if a request that holds some bytes, not protected yet, may start. What all
+ * running requests hold is limited, whatever their sizes, because one of them would have
+ * to be cut otherwise. A request is small if max_requests of its size fit. */
 bool
 jd_byte_budget_admits (const jd_byte_budget_t *budget, uint64_t bytes,
                        uint32_t max_requests)
 {
+  bool is_small = bytes <= budget->limit_bytes / MAX (max_requests, 1);
+  uint64_t percent = is_small ? SMALL_ADMISSION_PERCENT : LARGE_ADMISSION_PERCENT;
   return budget->protected_bytes == 0 ||
-         budget->protected_bytes + bytes <=
-             budget->limit_bytes / 100 * ADMISSION_PERCENT ||
-         bytes <= budget->limit_bytes / MAX (max_requests, 1);
+         budget->protected_bytes + bytes <= budget->limit_bytes / 100 * percent;
 }
