fix(transport): answer requests read before a demanded close

Cause: a stopping host marks a connection for closing with the next answer, and input of such a connection is discarded, also what was read before. Ruled out: the stop plan, which rejects what cannot be answered in time; it was never asked about these requests. Change: a close that the server demands waits until the input behind the request is handled; each such request is served or gets 503. A close that the caller asked for stays as it is.

--- a/src/transport/caller_server.c
+++ b/src/transport/caller_server.c
@@ -352,19 +352,27 @@
   process_pending (caller);
 }
 
+/* Returns TRUE if the connection closes after the answer to the present request: the
+ * caller wants that, or jd_caller_server_set_close_after_answer () demands it. A demanded
+ * close waits until the requests that were read behind the present one are answered. */
+static bool
+closes_after_answer (const jd_caller_t *caller)
+{
+  return !caller->reader.keep_alive ||
+         (caller->server->closes_after_answer && caller->pipelined->len == 0);
+}
+
 /* Queues an answer with header fields ("Name: value\r\n" lines) and a body, and ends the
- * request. The connection closes afterwards if the request or
- * jd_caller_server_set_close_after_answer () demands it. The connection may be freed on
- * return unless on_request is running. */
+ * request. The connection may close afterwards, see closes_after_answer (). The
+ * connection may be freed on return unless on_request is running. */
 void
 jd_caller_answer (jd_caller_t *caller, uint32_t status, const GString *fields,
                   const char *body, size_t body_bytes)
 {
-  jd_caller_server_t *server = caller->server;
   bool no_body = status == 204 || status == 304;
   caller->busy = false;
   caller->user_data = NULL;
-  if (!caller->reader.keep_alive || server->closes_after_answer)
+  if (closes_after_answer (caller))
     caller->closing = true;
   g_string_append_printf (caller->output, "HTTP/1.1 %u %s\r\n", status,
                           jd_http_reason (status));
--- a/test/process/test_host_stop.c
+++ b/test/process/test_host_stop.c
@@ -112,19 +112,25 @@
   int fd;
 } jd_slow_upload_t;
 
-/* Sends the head and the first half of the body of an edit. */
-static jd_slow_upload_t
-start_upload (jd_host_fixture_t *fixture, const char *id)
+/* Returns a new connection to the host. */
+static int
+open_connection (const jd_host_fixture_t *fixture)
 {
-  jd_slow_upload_t upload = { .id = id };
   struct sockaddr_in address;
   char text[64];
   g_snprintf (text, sizeof (text), "%s:%u", fixture->hosts[0].ip,
               fixture->hosts[0].callers_port);
   jd_socket_parse_address (text, &address);
-  upload.fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  CU_ASSERT_EQUAL_FATAL (
-      connect (upload.fd, (struct sockaddr *)&address, sizeof (address)), 0);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&address, sizeof (address)), 0);
+  return fd;
+}
+
+/* Sends the head and the first half of the body of an edit. */
+static jd_slow_upload_t
+start_upload (jd_host_fixture_t *fixture, const char *id)
+{
+  jd_slow_upload_t upload = { .id = id, .fd = open_connection (fixture) };
   char *head = g_strdup_printf (EDIT_HEAD "te", id);
   CU_ASSERT_EQUAL (send (upload.fd, head, strlen (head), MSG_NOSIGNAL),
                    (ssize_t)strlen (head));
@@ -183,12 +189,66 @@
   jd_host_fixture_close (&fixture);
 }
 
+/* Reads from a connection until it ends. Returns the number of answers. The event loop
+ * runs meanwhile. */
+static uint32_t
+count_answers (jd_host_fixture_t *fixture, int fd, double seconds)
+{
+  GString *text = g_string_new (NULL);
+  int64_t end_us = jd_monotonic_us () + (int64_t)(seconds * (double)JD_US_PER_S);
+  while (jd_monotonic_us () < end_us)
+    {
+      char data[4096];
+      jd_host_fixture_run (fixture, 0.02);
+      ssize_t size = recv (fd, data, sizeof (data), MSG_DONTWAIT);
+      if (size == 0)
+        break;
+      if (size > 0)
+        g_string_append_len (text, data, size);
+    }
+  uint32_t count = 0;
+  for (const char *at = text->str; (at = strstr (at, "HTTP/1.1 ")); at++)
+    count++;
+  CU_ASSERT_PTR_NOT_NULL (strstr (text->str, "Connection: close"));
+  g_string_free (text, TRUE);
+  return count;
+}
+
+#define PIPELINED 3U
+
+/* Guards against requests that a stopping host has read behind a running one of their
+ * connection and drops when that one is answered (review/9). */
+static void
+pipelined_requests_are_answered (void)
+{
+  static jd_host_fixture_t fixture;
+  open_fixture (&fixture);
+  set_studio_delay (&fixture, 300);
+  GString *text = g_string_new (NULL);
+  for (uint32_t i = 0; i < PIPELINED; i++)
+    g_string_append_printf (
+        text,
+        "GET /fetch/1 HTTP/1.1\r\nHost: shop.example\r\n"
+        "X-Attempt-Id: fetch-%u\r\nX-Deadline-Ms: 3000\r\n" JD_HOST_FIXTURE_KEY "\r\n",
+        i);
+  int fd = open_connection (&fixture);
+  CU_ASSERT_EQUAL (send (fd, text->str, text->len, MSG_NOSIGNAL), (ssize_t)text->len);
+  jd_host_fixture_run (&fixture, 0.1);
+  kill (fixture.hosts[0].pid, SIGTERM);
+  CU_ASSERT_EQUAL (count_answers (&fixture, fd, 3.0), PIPELINED);
+  CU_ASSERT_EQUAL (jd_host_fixture_stop_host (&fixture, 0, SIGTERM), 0);
+  g_string_free (text, TRUE);
+  close (fd);
+  jd_host_fixture_close (&fixture);
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
     { "waiting requests are answered", waiting_requests_are_answered },
     { "late requests are answered", late_requests_are_answered },
+    { "pipelined requests are answered", pipelined_requests_are_answered },
   };
   return JD_TEST_RUN ("host_stop", cases);
 }
