fix(routing): report all tenants and services in turn

With more tenants, services or targets to report than a message holds, other hosts never heard of some of them, so requests above a tenant's rate and extra attempts at a shard were not counted in full. Found by reading; no caller was seen to be affected.

Cause: each message was filled from the start of a hash table, whose first entries have something new each time. Ruled out: lost counts; what is left out stays unreported and adds up. Change: base/table_turn goes on with the first entry that the last message had no room for. Admissions, extra attempts, rejections and hints use it. Measured: unit_test_fleet_quota and unit_test_extra_pool, one new case each, FAILED when the first entry always comes first, and pass.

--- a/src/limits/fleet_quota.c
+++ b/src/limits/fleet_quota.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/rng.h"
+#include "base/table_turn.h"
 
 /* The platform tolerates 25 % more than the rate over its window. Admitting 8 % more than
  * the rate avoids refusing requests of tenants that are within it. */
@@ -103,6 +104,7 @@
   int64_t report_timeout_us;
   double extra_burst;
   int64_t started_us; /* When the first tenant was added; 0 before. */
+  guint next_report;  /* First tenant of the next reports, see jd_table_turn_visit (). */
 };
 
 /* Frees a tenant's state. */
@@ -495,29 +497,46 @@
   return false;
 }
 
+/* The reports of a message that is being filled. */
+typedef struct jd_report_list
+{
+  jd_quota_report_t *reports;
+  uint32_t count;
+  uint32_t max;
+  int64_t now_us;
+} jd_report_list_t;
+
+/* Table visitor: adds the report of a tenant that has admissions since the last report or
+ * demand that is still decaying. Returns FALSE without room for it. */
+static bool
+add_report (void *context, void *value)
+{
+  jd_report_list_t *list = context;
+  jd_quota_tenant_t *tenant = value;
+  decay_demand (tenant, list->now_us);
+  if (tenant->admitted == tenant->reported && tenant->demand_per_s < 0.05)
+    return true;
+  if (list->count == list->max)
+    return false;
+  tenant->reported = tenant->admitted;
+  list->reports[list->count++] = (jd_quota_report_t){
+    .tenant_hash = tenant->hash,
+    .admitted = tenant->admitted,
+    .demand_per_s = tenant->demand_per_s,
+    .admitted_per_s = tenant->local_admitted_per_s,
+  };
+  return true;
+}
+
 /* Fills in this host's reports to the others, for tenants with admissions since the last
- * report or with demand that is still decaying. Returns the number of reports. */
+ * report or with demand that is still decaying. Those beyond max come first in the next
+ * reports. Returns the number of reports. */
 uint32_t
 jd_fleet_quota_reports (jd_fleet_quota_t *quota, jd_quota_report_t *reports, uint32_t max,
                         int64_t now_us)
 {
-  uint32_t count = 0;
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, quota->by_hash);
-  while (count < max && g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      jd_quota_tenant_t *tenant = value;
-      decay_demand (tenant, now_us);
-      if (tenant->admitted == tenant->reported && tenant->demand_per_s < 0.05)
-        continue;
-      tenant->reported = tenant->admitted;
-      reports[count++] = (jd_quota_report_t){
-        .tenant_hash = tenant->hash,
-        .admitted = tenant->admitted,
-        .demand_per_s = tenant->demand_per_s,
-        .admitted_per_s = tenant->local_admitted_per_s,
-      };
-    }
-  return count;
+  jd_report_list_t list = { .reports = reports, .max = max, .now_us = now_us };
+  quota->next_report =
+      jd_table_turn_visit (quota->by_hash, quota->next_report, add_report, &list);
+  return list.count;
 }
--- a/src/routing/extra_reports.c
+++ b/src/routing/extra_reports.c
@@ -9,27 +9,32 @@
 } report_list_t;
 
 /* Registry visitor: adds a service's unreported extra attempts (hedges and retries) to
- * the list. */
-static void
-collect_report (void *context, jd_replica_pool_t *pool)
+ * the list. Returns FALSE without room for them. */
+static bool
+collect_report (void *context, void *value)
 {
   report_list_t *list = context;
-  if (pool->shared_budget.unreported == 0 || list->count == list->max)
-    return;
+  jd_replica_pool_t *pool = value;
+  if (pool->shared_budget.unreported == 0)
+    return true;
+  if (list->count == list->max)
+    return false;
   list->reports[list->count++] = (jd_extra_report_t){
     .service_hash = pool->service_hash,
     .count = jd_extra_budget_collect_report (&pool->shared_budget),
   };
+  return true;
 }
 
 /* Fills reports with this host's unreported extra attempts, one element for each service,
- * and returns the number of elements. Services beyond max are left for the next call. */
+ * and returns the number of elements. Services beyond max come first in the next call. */
 uint32_t
 jd_extra_reports_collect (jd_replica_registry_t *registry, jd_extra_report_t *reports,
                           uint32_t max)
 {
   report_list_t list = { .reports = reports, .max = max };
-  jd_replica_registry_each_pool (registry, collect_report, &list);
+  jd_replica_registry_collect (registry, JD_REGISTRY_REPORT_EXTRAS, collect_report,
+                               &list);
   return list.count;
 }
 
--- a/src/routing/rejection_reports.c
+++ b/src/routing/rejection_reports.c
@@ -8,28 +8,33 @@
   int64_t now_us;
 } jd_rejection_list_t;
 
-/* Registry visitor: adds the unreported answers of a replica to the list. */
-static void
-collect_report (void *context, jd_replica_t *replica)
+/* Registry visitor: adds the unreported answers of a replica to the list. Returns FALSE
+ * without room for them. */
+static bool
+collect_report (void *context, void *value)
 {
   jd_rejection_list_t *list = context;
+  jd_replica_t *replica = value;
   jd_rejection_count_t count;
-  if (list->count == list->max ||
-      !jd_rejection_rate_collect_report (&replica->rejections, &count))
-    return;
+  if (list->count == list->max && replica->rejections.unreported_rejections > 0)
+    return false;
+  if (!jd_rejection_rate_collect_report (&replica->rejections, &count))
+    return true;
   list->reports[list->count++] =
       (jd_rejection_report_t){ .target_hash = replica->id_hash, .count = count };
+  return true;
 }
 
 /* Fills reports with the answers, to this host, of targets that rejected some of its
- * requests, and returns the number of elements. Targets beyond max are left for the next
- * call. */
+ * requests, and returns the number of elements. Targets beyond max come first in the
+ * next call. */
 uint32_t
 jd_rejection_reports_collect (jd_replica_registry_t *registry,
                               jd_rejection_report_t *reports, uint32_t max)
 {
   jd_rejection_list_t list = { .reports = reports, .max = max };
-  jd_replica_registry_each (registry, collect_report, &list);
+  jd_replica_registry_collect (registry, JD_REGISTRY_REPORT_REJECTIONS, collect_report,
+                               &list);
   return list.count;
 }
 
--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -29,6 +29,7 @@
   bool uses_mean_load;
   uint32_t hosts;
   uint32_t rank;
+  guint next[JD_REGISTRY_REPORT_COUNT]; /* See jd_table_turn_visit (). */
 };
 
 /* Hash table callback: drops the table's reference to a pool. */
@@ -434,6 +435,18 @@
     visit (context, value);
 }
 
+/* Calls visit for the services or targets, as the report demands, until it returns FALSE
+ * because the message is full. The next call for this report starts there. */
+void
+jd_replica_registry_collect (jd_replica_registry_t *registry, jd_registry_report_t report,
+                             jd_table_turn_visit_t visit, void *context)
+{
+  GHashTable *table =
+      report == JD_REGISTRY_REPORT_EXTRAS ? registry->by_service : registry->by_id;
+  registry->next[report] =
+      jd_table_turn_visit (table, registry->next[report], visit, context);
+}
+
 /* Returns the published target with an id, or NULL. The registry owns it. */
 jd_replica_t *
 jd_replica_registry_find (const jd_replica_registry_t *registry, const char *id)
--- a/src/routing/replica_registry.h
+++ b/src/routing/replica_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/table_turn.h"
 #include "routing/replica.h"
 
 /* All published targets, by id and by service. */
@@ -34,6 +35,18 @@
 void jd_replica_registry_expire_notices (jd_replica_registry_t *registry, int64_t now_us);
 void jd_replica_registry_set_hosts (jd_replica_registry_t *registry, uint32_t hosts,
                                     uint32_t rank);
+/* What hosts report to each other about targets and services, a part in each message. */
+typedef enum jd_registry_report
+{
+  JD_REGISTRY_REPORT_EXTRAS,     /* Of jd_replica_pool_t. */
+  JD_REGISTRY_REPORT_REJECTIONS, /* Of jd_replica_t. */
+  JD_REGISTRY_REPORT_HINTS,      /* Of jd_replica_t. */
+  JD_REGISTRY_REPORT_COUNT,
+} jd_registry_report_t;
+
+void jd_replica_registry_collect (jd_replica_registry_t *registry,
+                                  jd_registry_report_t report,
+                                  jd_table_turn_visit_t visit, void *context);
 void jd_replica_registry_each (jd_replica_registry_t *registry,
                                void (*visit) (void *context, jd_replica_t *replica),
                                void *context);
--- a/src/routing/target_hints.c
+++ b/src/routing/target_hints.c
@@ -14,29 +14,34 @@
   int64_t now_us;
 } jd_hint_list_t;
 
-/* Registry visitor: moves a replica's pending hint to the list. */
-static void
-collect_hint (void *context, jd_replica_t *replica)
+/* Registry visitor: moves a replica's pending hint to the list. Returns FALSE without
+ * room for it. */
+static bool
+collect_hint (void *context, void *value)
 {
   jd_hint_list_t *list = context;
-  if (replica->pending_hint_ratio <= 0.0 || list->count == list->max)
-    return;
+  jd_replica_t *replica = value;
+  if (replica->pending_hint_ratio <= 0.0)
+    return true;
+  if (list->count == list->max)
+    return false;
   list->hints[list->count++] = (jd_target_hint_t){
     .target_hash = replica->id_hash,
     .latency_ratio = replica->pending_hint_ratio,
   };
   replica->pending_hint_ratio = 0.0;
   replica->hint_sent_us = list->now_us;
+  return true;
 }
 
 /* Fills hints with the pending hints for the other hosts and returns their number. Each
- * hint is returned once; hints beyond max are left for the next call. */
+ * hint is returned once; hints beyond max come first in the next call. */
 uint32_t
 jd_target_hints_collect (jd_replica_registry_t *registry, jd_target_hint_t *hints,
                          uint32_t max, int64_t now_us)
 {
   jd_hint_list_t list = { .hints = hints, .max = max, .now_us = now_us };
-  jd_replica_registry_each (registry, collect_hint, &list);
+  jd_replica_registry_collect (registry, JD_REGISTRY_REPORT_HINTS, collect_hint, &list);
   return list.count;
 }
 
--- a/test/unit/test_extra_pool.c
+++ b/test/unit/test_extra_pool.c
@@ -5,7 +5,9 @@
 
 #include "base/clock.h"
 #include "base/rng.h"
+#include "routing/extra_reports.h"
 #include "routing/hedge_budget.h"
+#include "routing/replica_registry.h"
 #include "support/test_main.h"
 
 #define HOSTS_MAX 100
@@ -285,6 +287,47 @@
     }
 }
 
+#define SERVICES 100U
+#define REPORTS_MAX 64U
+
+/* Guards against services whose extra attempts other hosts never hear of: all services
+ * have some before each message, which has room for a part of them, and it always held
+ * those of the first services. */
+static void
+all_services_are_reported_in_turn (void)
+{
+  jd_replica_events_t events = { 0 };
+  jd_replica_registry_t *registry = jd_replica_registry_new ("a", &events);
+  jd_replica_pool_t *pools[SERVICES];
+  for (uint32_t i = 0; i < SERVICES; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof (name), "shard-%u", i);
+      pools[i] = jd_replica_registry_pool (registry, name);
+    }
+  uint32_t collected = 0;
+  for (int message = 0; message < 4; message++)
+    {
+      jd_extra_report_t reports[REPORTS_MAX];
+      for (uint32_t i = 0; i < SERVICES; i++)
+        jd_extra_budget_count_own (&pools[i]->shared_budget, JD_US_PER_S);
+      uint32_t count = jd_extra_reports_collect (registry, reports, REPORTS_MAX);
+      CU_ASSERT_EQUAL (count, REPORTS_MAX);
+      for (uint32_t i = 0; i < count; i++)
+        collected += reports[i].count;
+    }
+  uint32_t most_unreported = 0, unreported = 0;
+  for (uint32_t i = 0; i < SERVICES; i++)
+    {
+      unreported += pools[i]->shared_budget.unreported;
+      most_unreported = MAX (most_unreported, pools[i]->shared_budget.unreported);
+      jd_replica_pool_unref (pools[i]);
+    }
+  CU_ASSERT_EQUAL (collected + unreported, 4 * SERVICES);
+  CU_ASSERT_TRUE (most_unreported <= 1);
+  jd_replica_registry_free (registry);
+}
+
 int
 main (void)
 {
@@ -294,6 +337,7 @@
     { "lost shards stay within the bound", lost_shards_stay_within_the_bound },
     { "unreported use is not lent", unreported_use_is_not_lent },
     { "silent hosts allow no extra attempts", silent_hosts_allow_no_extra_attempts },
+    { "all services are reported in turn", all_services_are_reported_in_turn },
   };
   return JD_TEST_RUN ("extra_pool", cases);
 }
--- a/test/unit/test_fleet_quota.c
+++ b/test/unit/test_fleet_quota.c
@@ -453,6 +453,34 @@
   jd_fleet_quota_free (quota);
 }
 
+#define MANY_TENANTS 100U
+
+/* Guards against tenants of which no host hears: a message has room for some reports
+ * only, and it always held those of the first tenants. */
+static void
+all_tenants_are_reported_in_turn (void)
+{
+  jd_fleet_quota_t *quota = jd_fleet_quota_new (true);
+  jd_quota_report_t reports[40];
+  int64_t now_us = JD_US_PER_S, retry_us = 0;
+  uint32_t new_reports = 0;
+  for (uint32_t i = 0; i < MANY_TENANTS; i++)
+    {
+      char name[16];
+      g_snprintf (name, sizeof (name), "tenant-%u", i);
+      jd_fleet_quota_set (quota, name, 10.0, 10.0, now_us);
+      CU_ASSERT_TRUE (jd_fleet_quota_admit (quota, name, 2, now_us, &retry_us));
+    }
+  for (int message = 0; message < 3; message++)
+    {
+      CU_ASSERT_TRUE (jd_fleet_quota_has_unreported (quota));
+      new_reports += jd_fleet_quota_reports (quota, reports, 40, now_us);
+    }
+  CU_ASSERT_FALSE (jd_fleet_quota_has_unreported (quota));
+  CU_ASSERT_TRUE (new_reports >= MANY_TENANTS);
+  jd_fleet_quota_free (quota);
+}
+
 int
 main (void)
 {
@@ -471,6 +499,7 @@
       idle_and_restarted_hosts_are_not_charged },
     { "silent hosts are charged", silent_hosts_are_charged },
     { "no rate means no limit", no_rate_means_no_limit },
+    { "all tenants are reported in turn", all_tenants_are_reported_in_turn },
     { "first report of a restarted host counts once",
       first_report_of_a_restarted_host_counts_once },
   };
