fix(transport): pause accepting without free descriptors

Cause: a connection that cannot be accepted keeps the listener readable. Ruled out: served connections; they go on. Change: after such a failure accepting pauses for 0.1 s. Measured: unit_test_caller_server: 499 ms of processor time in 500 ms before (FAILED), 0 ms in 3 of 3 runs after; waiting connections are accepted then.

--- a/src/transport/caller_server.c
+++ b/src/transport/caller_server.c
@@ -21,6 +21,9 @@
 /* Limits the connections accepted per wake-up, so that a burst of them does not delay the
  * running requests. */
 #define ACCEPTS_PER_WAKEUP_MAX 32
+/* Pause of accepting connections while the process has no free descriptor or memory for
+ * one. They wait in the backlog of the listener meanwhile. */
+#define ACCEPT_PAUSE_S 0.1
 /* How long input is read and discarded after the last answer. A close with unread bytes
  * would reset the connection, and the caller could lose the answer. */
 #define LINGER_US (2 * JD_US_PER_S)
@@ -64,6 +67,7 @@
   jd_caller_handler_t handler;
   jd_caller_limits_t limits;
   ev_io listener;
+  ev_timer accept_timer; /* Active while accepting is paused. */
   ev_timer timeout_timer;
   int listen_fd;
   GQueue callers;
@@ -463,6 +467,25 @@
   g_queue_push_tail_link (&server->callers, &caller->link);
 }
 
+/* Timer callback: accepts connections again. */
+static void
+on_accept_pause_over (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  jd_caller_server_t *server = timer->data;
+  ev_io_start (loop, &server->listener);
+}
+
+/* Logs why a connection could not be accepted, and pauses accepting: the listener stays
+ * readable, so that the event loop would be woken without end. */
+static void
+pause_accepting (jd_caller_server_t *server, int error)
+{
+  jd_log_event (G_LOG_LEVEL_WARNING, "accept_failed", "error=%s", g_strerror (error));
+  ev_io_stop (server->loop, &server->listener);
+  ev_timer_set (&server->accept_timer, ACCEPT_PAUSE_S, 0.0);
+  ev_timer_start (server->loop, &server->accept_timer);
+}
+
 /* Event loop callback: accepts connections. */
 static void
 on_accept (struct ev_loop *loop, ev_io *io, int events)
@@ -474,8 +497,7 @@
       if (fd < 0)
         {
           if (errno != EAGAIN && errno != ECONNABORTED && errno != EINTR)
-            jd_log_event (G_LOG_LEVEL_WARNING, "accept_failed", "error=%s",
-                          g_strerror (errno));
+            pause_accepting (server, errno);
           return;
         }
       caller_new (server, fd);
@@ -536,6 +558,8 @@
     .idle_timeout_us = DEFAULT_IDLE_TIMEOUT_US,
   };
   g_queue_init (&server->callers);
+  ev_init (&server->accept_timer, on_accept_pause_over);
+  server->accept_timer.data = server;
   ev_timer_init (&server->timeout_timer, on_timeout_check, TIMEOUT_CHECK_INTERVAL_S,
                  TIMEOUT_CHECK_INTERVAL_S);
   server->timeout_timer.data = server;
@@ -608,6 +632,7 @@
 {
   if (server->listen_fd < 0)
     return;
+  ev_timer_stop (server->loop, &server->accept_timer);
   ev_io_stop (server->loop, &server->listener);
   close (server->listen_fd);
   server->listen_fd = -1;
