fix(membership): space the reads of a host that reads for its zone

A copy that fails makes the next step due at once, and a step of a reader reads the store. A reader that still needs a full copy and whose copies fail would read the store with each message of another host.

Change: a host reads the store again 300 ms after its records were current at the earliest, unless its own read is due. The log line own_read_due gives the age from the start of a host without records.

--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -36,8 +36,6 @@
 #define REVISION_ARGS(revision)                                                          \
   jd_record_revision_number (revision), jd_record_revision_generation (revision)
 
-static void take_step (jd_record_source_t *source);
-
 struct jd_record_source
 {
   jd_record_source_options_t options;
@@ -59,6 +57,8 @@
                            peer. */
 };
 
+static void take_step (jd_record_source_t *source);
+
 /* Returns the maximum age of the last successful read at which this host is still
  * regarded as a reader of the store. */
 static int64_t
@@ -388,8 +388,8 @@
   if (plan.is_own_read_due && plan.starts_read)
     jd_log_event (G_LOG_LEVEL_INFO, "own_read_due",
                   "age_ms=%" G_GINT64_FORMAT " copying=%d copying_from=%s",
-                  (now_us - view.as_of_us) / JD_US_PER_MS, view.is_copying,
-                  source->copy_peer_name);
+                  (now_us - MAX (view.as_of_us, view.started_us)) / JD_US_PER_MS,
+                  view.is_copying, source->copy_peer_name);
   source->timer.repeat = (double)plan.next_step_in_us / (double)JD_US_PER_S;
   ev_timer_again (source->options.loop, &source->timer);
   if (plan.starts_read)
--- a/src/membership/record_plan.c
+++ b/src/membership/record_plan.c
@@ -7,6 +7,7 @@
 
 /* Reads of the records within the limit. */
 #define READS_PER_LIMIT 3
+/* Also the shortest time between two reads of one host, whatever its steps are due to. */
 #define READ_INTERVAL_MIN_US (300 * JD_US_PER_MS)
 #define READ_INTERVAL_MAX_US (2 * JD_US_PER_S)
 /* Shares of the limit, in percent, between which hosts read the store themselves. Above
@@ -159,8 +160,10 @@
   plan.is_reader =
       has_nothing || jd_peer_table_should_read (peers, view->reads_store,
                                                 budget->own_read_min_us, now_us);
-  plan.starts_read = (plan.is_reader || plan.is_own_read_due) && !view->is_reading &&
-                     now_us >= view->read_again_us;
+  bool is_read_useful = view->as_of_us == 0 || plan.is_own_read_due ||
+                        now_us - view->as_of_us >= READ_INTERVAL_MIN_US;
+  plan.starts_read = (plan.is_reader || plan.is_own_read_due) && is_read_useful &&
+                     !view->is_reading && now_us >= view->read_again_us;
   if (!plan.is_reader || plan.is_own_read_due || view->store_failed ||
       view->needs_full_copy)
     plan.source = source;
--- a/test/unit/test_record_plan.c
+++ b/test/unit/test_record_plan.c
@@ -107,6 +107,30 @@
   jd_peer_table_free (peers);
 }
 
+/* Guards against a reader that reads the store after each copy that fails: messages of
+ * other hosts may offer copies many times a second. */
+static void
+reader_does_not_read_at_each_step (void)
+{
+  jd_record_budget_t budget = jd_record_budget_new (LIMIT_US);
+  jd_peer_table_t *peers = jd_peer_table_new (OWN_IP, "a");
+  jd_record_view_t view = { .revision = REVISION,
+                            .as_of_us = SECOND_US,
+                            .reads_store = true,
+                            .needs_full_copy = true };
+  uint32_t reads = 0;
+  for (int64_t now_us = SECOND_US; now_us < 4 * SECOND_US; now_us += SECOND_US / 50)
+    {
+      jd_record_plan_t plan = jd_record_plan_choose (&budget, peers, &view, now_us);
+      CU_ASSERT_TRUE (plan.is_reader);
+      reads += plan.starts_read;
+      if (plan.starts_read)
+        view.as_of_us = now_us;
+    }
+  CU_ASSERT_TRUE (reads >= 3 && reads <= 10);
+  jd_peer_table_free (peers);
+}
+
 /* Guards against hosts of a large zone that all read the store at one moment after the
  * loss of the host that read it for them. */
 static void
@@ -174,6 +198,7 @@
     { "hanging read is repeated within the limit",
       hanging_read_is_repeated_within_the_limit },
     { "refused reads are repeated with pauses", refused_reads_are_repeated_with_pauses },
+    { "reader does not read at each step", reader_does_not_read_at_each_step },
     { "own reads of a zone are spread", own_reads_of_a_zone_are_spread },
     { "store is read only if copies do not suffice",
       store_is_read_only_if_copies_do_not_suffice },
