fix(membership): move copied values to the later generation

A host kept the position of a record in the earlier generation of the store if the value that it read or copied in the later one was the same. A host that had copied the newest configuration thus had it at a position before the one of the older copy in the store, and a starting host that copied from it kept the older copy: a withdrawn key worked again there until the operator's next write.

Cause: jd_record_feed_put () returned for an equal value before the position was compared. Seen in the log of a trial of process_test_record_source in which the host that reads the store restarts: records_copied from the other host brought no configuration. Ruled out: the comparison of values at one position (is_known_better ()), which the copies never reached.

An equal value of a later generation now moves the position; the change is not announced, as a later generation is copied in full anyway.

unit_test_record_feed, "copied values belong to the later generation": failed before, passes now.

--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -103,6 +103,13 @@
          feed->events.is_newer (feed->events.context, item->key, item->value, listed);
 }
 
+/* Returns TRUE if a revision is of a later generation of the store than another one. */
+static bool
+is_later_generation (int64_t revision, int64_t than)
+{
+  return jd_record_revision_generation (revision) > jd_record_revision_generation (than);
+}
+
 /* Returns TRUE if a listed value is one that the store had before what this host knows of
  * the record: the store returned from an older copy, and the writer of the record has not
  * written it again yet. */
@@ -112,8 +119,7 @@
 {
   GBytes *known = item->value ? item->value : item->last_value;
   return known && feed->events.is_newer &&
-         jd_record_revision_generation (revision) >
-             jd_record_revision_generation (item->revision) &&
+         is_later_generation (revision, item->revision) &&
          !feed->events.is_newer (feed->events.context, item->key, known, listed);
 }
 
@@ -141,6 +147,9 @@
     {
       /* Later comparisons need the newest heartbeat counter. */
       set_value (&item->value, value);
+      /* Otherwise the older copy would seem newer than this value to other hosts. */
+      if (is_later_generation (revision, item->revision))
+        item->revision = revision;
       return false;
     }
   if (is_from_older_copy (feed, item, value, revision))
--- a/test/unit/test_record_feed.c
+++ b/test/unit/test_record_feed.c
@@ -422,6 +422,30 @@
   jd_record_feed_free (known);
 }
 
+/* Guards against a withdrawn key that works again on a host that started: the host that it
+ * copied from had itself copied the configuration, and had it at a revision of the
+ * generation before (process_test_record_source, once in CI). */
+static void
+copied_values_belong_to_the_later_generation (void)
+{
+  event_counts_t copied_counts = { 0 }, started_counts = { 0 };
+  jd_record_feed_t *copied = new_guarded_feed (&copied_counts);
+  jd_record_feed_t *started = new_guarded_feed (&started_counts);
+  int64_t copy = jd_record_revision (2, 300);
+  put_record (copied, "configuration", "c3", jd_record_revision (1, 500));
+  jd_record_feed_advance (copied, jd_record_revision (1, 500), 10);
+  /* From a host that kept its value over the older copy. */
+  put_record (copied, "configuration", "c3", copy);
+  jd_record_feed_advance (copied, copy, 20);
+  CU_ASSERT_EQUAL (copied_counts.changes, 1);
+  put_record (started, "configuration", "b2", copy);
+  jd_record_feed_advance (started, copy, 20);
+  jd_record_feed_each_after (copied, -1, copy_item, started);
+  CU_ASSERT_EQUAL (started_counts.changes, 2);
+  jd_record_feed_free (started);
+  jd_record_feed_free (copied);
+}
+
 /* Guards against records that seem to be current because a host says so that has not
  * heard of the new generation. */
 static void
@@ -498,6 +522,8 @@
     { "removals of many records are held", removals_of_many_records_are_held },
     { "older copy takes nothing back", older_copy_takes_nothing_back },
     { "hosts learn what the older copy lacks", hosts_learn_what_the_older_copy_lacks },
+    { "copied values belong to the later generation",
+      copied_values_belong_to_the_later_generation },
     { "earlier generation says nothing", earlier_generation_says_nothing },
     { "copy brings no removed record back", copy_brings_no_removed_record_back },
     { "configuration stays without a record", configuration_stays_without_a_record },
