fix(membership): let a starting host copy from any established host

The store has returned from an older copy.

Cause: a starting host copies all records once, for what the store may lack, but only hosts that read the store counted as sources. The other hosts of the zone copied from the lost one; if they hear that it reads again before they take over, they never do, and are no sources.

All records now come from any host that is established, which is one that has sent 12 messages since its start; the first copy from a host that has just started too does not count, and changes still come from readers of the store only. The decision is record_plan's.

The test restarts the reader too now. unit_test_record_plan, "starting host copies from any established host", holds the decision.

--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -51,8 +51,10 @@
   jd_name_t copy_peer_name;
   bool is_store_read_running; /* A read of the store is running. */
   bool store_failed;
-  bool needs_full_copy; /* No copy has been read since the start. Another host may know
-                           more than a store that has returned from an older copy. */
+  bool needs_full_copy; /* All records of an established host have not been copied since
+                           the start. Such a host may know more than a store that has
+                           returned from an older copy. */
+  bool is_full_copy;    /* The running or last copy is of all these records. */
   bool is_store_reader; /* Since the last timer step: FALSE if the host copies from a
                            peer. */
 };
@@ -316,24 +318,28 @@
       handle_failed_copy (source);
       return;
     }
-  source->needs_full_copy = false;
+  if (source->is_full_copy)
+    source->needs_full_copy = false;
   jd_log_event (G_LOG_LEVEL_INFO, "records_copied",
-                "from=%s after=%" G_GINT64_FORMAT " " REVISION_FORMAT
+                "from=%s full=%d after=%" G_GINT64_FORMAT " " REVISION_FORMAT
                 " bytes=%zu ms=%" G_GINT64_FORMAT,
-                source->copy_peer_name, jd_record_revision_number (requested_after),
+                source->copy_peer_name, source->is_full_copy,
+                jd_record_revision_number (requested_after),
                 REVISION_ARGS (jd_record_feed_revision (source->options.feed)),
                 reply->body->len,
                 (jd_monotonic_us () - source->copy_requested_us) / JD_US_PER_MS);
   notify_changes (source, previous_revision);
 }
 
-/* Starts a copy of the changes that a peer has and this host lacks. If there are none,
- * only advances the revision and time of the feed. No copy may be running. */
+/* Starts a copy of the changes that a peer has and this host lacks, or of all records if
+ * this host needs them and the peer is established. If there are no changes, only
+ * advances the revision and time of the feed. No copy may be running. */
 static void
 follow_peer (jd_record_source_t *source, const jd_peer_t *peer)
 {
   jd_record_feed_t *feed = source->options.feed;
-  int64_t revision = source->needs_full_copy ? 0 : jd_record_feed_revision (feed);
+  bool is_full_copy = source->needs_full_copy && jd_peer_is_established (peer);
+  int64_t revision = is_full_copy ? 0 : jd_record_feed_revision (feed);
   if (revision > 0 && peer->state.changed_revision <= revision)
     {
       jd_record_feed_advance (feed, peer->state.feed_revision,
@@ -349,6 +355,7 @@
   g_snprintf (target, sizeof (target), "/records?after=%" G_GINT64_FORMAT, revision);
   int64_t now_us = jd_monotonic_us ();
   jd_record_view_t view = view_records (source, now_us);
+  source->is_full_copy = is_full_copy;
   source->copy_requested_us = now_us;
   source->copy_peer_ip = peer->state.ip;
   g_strlcpy (source->copy_peer_name, peer->state.name, sizeof (source->copy_peer_name));
--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -28,6 +28,9 @@
 /* The same for hosts that were never heard, while no host is live: after a restart of all
  * hosts the seeds may start a moment later than this host. */
 #define FIRST_CONTACT_INTERVAL_US (200 * JD_US_PER_MS)
+/* A host that has sent fewer messages since its start may still lack what others know.
+ * It sends them every 0.25 s at first. */
+#define ESTABLISHED_MESSAGES 12
 
 struct jd_peer_table
 {
@@ -396,13 +399,25 @@
     peer->copy_failed_us = now_us;
 }
 
-/* Returns TRUE if records can be copied from a host: it is live, reads the store, is not
- * leaving and has sent a message since a copy from it failed. */
+/* Returns TRUE if a host has run for long enough to know what others know. */
+bool
+jd_peer_is_established (const jd_peer_t *peer)
+{
+  return peer->state.sequence >= ESTABLISHED_MESSAGES;
+}
+
+/* Returns TRUE if records can be copied from a host: it is live, not leaving and has sent
+ * a message since a copy from it failed. Changes are copied from hosts that read the
+ * store, so that they pass through few hosts. What the store may lack is known to any
+ * host that is established. */
 static bool
-is_source (const jd_peer_table_t *table, const jd_peer_t *peer, int64_t now_us)
+is_source (const jd_peer_table_t *table, const jd_peer_t *peer, jd_source_need_t need,
+           int64_t now_us)
 {
-  return is_live (table, peer, now_us) && peer->state.reads_store &&
-         !peer->state.leaving && peer->last_message_us > peer->copy_failed_us;
+  bool is_suited = need == JD_SOURCE_FOR_ALL_RECORDS ? jd_peer_is_established (peer)
+                                                     : peer->state.reads_store;
+  return is_suited && is_live (table, peer, now_us) && !peer->state.leaving &&
+         peer->last_message_us > peer->copy_failed_us;
 }
 
 /* Returns the host to copy records from, or NULL if there is none: a source with records
@@ -411,8 +426,8 @@
  * of this zone, then one with more recent records. The result is valid until the table
  * changes. */
 const jd_peer_t *
-jd_peer_table_best_source (const jd_peer_table_t *table, int64_t own_revision,
-                           int64_t max_age_us, int64_t now_us)
+jd_peer_table_best_source (const jd_peer_table_t *table, jd_source_need_t need,
+                           int64_t own_revision, int64_t max_age_us, int64_t now_us)
 {
   const jd_peer_t *best = NULL;
   int64_t best_cost_us = INT64_MAX;
@@ -423,14 +438,15 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const jd_peer_t *peer = value;
-      if (!is_source (table, peer, now_us))
+      if (!is_source (table, peer, need, now_us))
         continue;
       int64_t age_us = records_age_us (peer, now_us);
       uint32_t generation = jd_record_revision_generation (peer->state.feed_revision);
       if (age_us >= max_age_us || generation < own_generation)
         continue;
       bool is_same_zone = strcmp (peer->state.zone, table->own_zone) == 0;
-      bool has_changes = own_revision >= peer->state.tombstones_since;
+      bool has_changes = need == JD_SOURCE_FOR_ALL_RECORDS ||
+                         own_revision >= peer->state.tombstones_since;
       int64_t cost_us = age_us / 4 + (is_same_zone ? 0 : max_age_us) +
                         (has_changes ? 0 : 2 * max_age_us) -
                         (generation > own_generation ? 4 * max_age_us : 0);
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -33,6 +33,13 @@
   bool is_seed;           /* An address of the settings, which stays. */
 } jd_peer_t;
 
+/* What a host copies records for. */
+typedef enum jd_source_need
+{
+  JD_SOURCE_FOR_CHANGES,    /* To keep its records current. */
+  JD_SOURCE_FOR_ALL_RECORDS /* Once after its start, for what the store may lack. */
+} jd_source_need_t;
+
 /* The other hosts of the fleet, with the last state that each reported. */
 typedef struct jd_peer_table jd_peer_table_t;
 
@@ -63,6 +70,7 @@
 bool jd_peer_table_should_read (const jd_peer_table_t *table, bool reads_store_now,
                                 int64_t max_age_us, int64_t now_us);
 void jd_peer_table_copy_failed (jd_peer_table_t *table, uint32_t ip, int64_t now_us);
+bool jd_peer_is_established (const jd_peer_t *peer);
 const jd_peer_t *jd_peer_table_best_source (const jd_peer_table_t *table,
-                                            int64_t own_revision, int64_t max_age_us,
-                                            int64_t now_us);
+                                            jd_source_need_t need, int64_t own_revision,
+                                            int64_t max_age_us, int64_t now_us);
--- a/src/membership/record_plan.c
+++ b/src/membership/record_plan.c
@@ -106,26 +106,40 @@
 }
 
 /* Returns the host from which records can be copied now, or NULL: none, or a copy is
- * running. */
+ * running. A host that needs all records copies them first. */
 static const jd_peer_t *
 find_source (const jd_record_budget_t *budget, const jd_peer_table_t *peers,
-             const jd_record_view_t *view, int64_t now_us)
+             const jd_record_view_t *view, jd_source_need_t need, int64_t now_us)
 {
   if (view->is_copying)
     return NULL;
-  return jd_peer_table_best_source (peers, view->revision, budget->own_read_max_us,
+  return jd_peer_table_best_source (peers, need, view->revision, budget->own_read_max_us,
                                     now_us);
 }
 
+/* Returns the host from which this host copies all records after its start, or NULL: none
+ * or not needed. It does so also while it reads the store. */
+static const jd_peer_t *
+find_full_source (const jd_record_budget_t *budget, const jd_peer_table_t *peers,
+                  const jd_record_view_t *view, int64_t now_us)
+{
+  return view->needs_full_copy
+             ? find_source (budget, peers, view, JD_SOURCE_FOR_ALL_RECORDS, now_us)
+             : NULL;
+}
+
 /* Returns the host to copy from after a message of another host, or NULL. A host that
- * reads the store needs no copy while its reads keep its records current. */
+ * reads the store needs no changes while its reads keep its records current. */
 const jd_peer_t *
 jd_record_plan_offer (const jd_record_budget_t *budget, const jd_peer_table_t *peers,
                       const jd_record_view_t *view, int64_t now_us)
 {
-  bool is_current = view->reads_store && !view->needs_full_copy &&
-                    now_us - age_start_us (view) < budget->own_read_min_us;
-  return is_current ? NULL : find_source (budget, peers, view, now_us);
+  const jd_peer_t *full_source = find_full_source (budget, peers, view, now_us);
+  bool is_current =
+      view->reads_store && now_us - age_start_us (view) < budget->own_read_min_us;
+  if (full_source || is_current)
+    return full_source;
+  return find_source (budget, peers, view, JD_SOURCE_FOR_CHANGES, now_us);
 }
 
 /* Returns the time until the next plan is due. */
@@ -155,7 +169,9 @@
   jd_record_plan_t plan = { .read_limit_us = read_timeout_us (budget, view, now_us) };
   int64_t own_read_us = age_start_us (view) + own_read_age_us (budget, peers, now_us);
   plan.is_own_read_due = now_us >= own_read_us;
-  const jd_peer_t *source = find_source (budget, peers, view, now_us);
+  const jd_peer_t *full_source = find_full_source (budget, peers, view, now_us);
+  const jd_peer_t *source =
+      find_source (budget, peers, view, JD_SOURCE_FOR_CHANGES, now_us);
   bool has_nothing = view->as_of_us == 0 && !view->is_copying && !source;
   plan.is_reader =
       has_nothing || jd_peer_table_should_read (peers, view->reads_store,
@@ -164,8 +180,9 @@
                         now_us - view->as_of_us >= READ_INTERVAL_MIN_US;
   plan.starts_read = (plan.is_reader || plan.is_own_read_due) && is_read_useful &&
                      !view->is_reading && now_us >= view->read_again_us;
-  if (!plan.is_reader || plan.is_own_read_due || view->store_failed ||
-      view->needs_full_copy)
+  if (full_source)
+    plan.source = full_source;
+  else if (!plan.is_reader || plan.is_own_read_due || view->store_failed)
     plan.source = source;
   plan.next_step_in_us = next_step_in_us (budget, view, &plan, own_read_us, now_us);
   JD_INVARIANT (records_in_time, now_us < age_start_us (view) + budget->own_read_max_us ||
--- a/test/process/test_record_source.c
+++ b/test/process/test_record_source.c
@@ -18,29 +18,30 @@
 #define CONFIG_LIMIT_US (3 * JD_US_PER_S)
 
 static uint32_t
-status_with_guest_key (jd_host_fixture_t *fixture)
+status_with_guest_key (jd_host_fixture_t *fixture, uint32_t host)
 {
   static uint32_t count;
   char *text = g_strdup_printf (
       "GET /fetch/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: guest-%u\r\n"
       "X-Deadline-Ms: 1500\r\n" JD_HOST_FIXTURE_GUEST_KEY "\r\n",
       count++);
-  jd_host_fixture_reply_t *reply = jd_host_fixture_call (fixture, COPIER, text);
+  jd_host_fixture_reply_t *reply = jd_host_fixture_call (fixture, host, text);
   uint32_t status = reply->status;
   jd_host_fixture_reply_free (reply);
   g_free (text);
   return status;
 }
 
-/* Calls the copying host with the guest key until it gets a status. Returns the time that
- * this took, or INT64_MAX if it is longer than the limit. */
+/* Calls a host with the guest key until it gets a status. Returns the time that this
+ * took, or INT64_MAX if it is longer than the limit. */
 static int64_t
-wait_for_guest_status (jd_host_fixture_t *fixture, uint32_t status, int64_t limit_us)
+wait_for_guest_status (jd_host_fixture_t *fixture, uint32_t host, uint32_t status,
+                       int64_t limit_us)
 {
   int64_t start_us = jd_monotonic_us ();
   while (jd_monotonic_us () - start_us < limit_us)
     {
-      if (status_with_guest_key (fixture) == status)
+      if (status_with_guest_key (fixture, host) == status)
         return jd_monotonic_us () - start_us;
       jd_host_fixture_run (fixture, 0.02);
     }
@@ -70,7 +71,8 @@
       jd_host_fixture_start_host (&fixture, COPIER);
       CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, COPIER, 5.0));
       publish_guest_key (&fixture, true);
-      CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 200, 5 * JD_US_PER_S) < INT64_MAX);
+      CU_ASSERT_TRUE (wait_for_guest_status (&fixture, COPIER, 200, 5 * JD_US_PER_S) <
+                      INT64_MAX);
       /* The records of the reader are as recent as they get right after a read. */
       uint32_t call_count = jd_published_store_call_count (fixture.store);
       while (jd_published_store_call_count (fixture.store) == call_count)
@@ -78,7 +80,8 @@
       jd_host_fixture_run (&fixture, 0.05 + 0.07 * i);
       kill (fixture.hosts[READER].pid, SIGKILL);
       publish_guest_key (&fixture, false);
-      int64_t late_us = wait_for_guest_status (&fixture, 401, 2 * CONFIG_LIMIT_US);
+      int64_t late_us =
+          wait_for_guest_status (&fixture, COPIER, 401, 2 * CONFIG_LIMIT_US);
       printf ("%.2f s ", (double)late_us / (double)JD_US_PER_S);
       CU_ASSERT_TRUE (late_us < CONFIG_LIMIT_US);
       jd_host_fixture_stop_host (&fixture, READER, SIGKILL);
@@ -96,14 +99,16 @@
   static jd_host_fixture_t fixture = { .has_one_zone = true };
   jd_host_fixture_open (&fixture, 2, SHARDS);
   CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, COPIER, 5.0));
-  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 401, CONFIG_LIMIT_US) < INT64_MAX);
+  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, COPIER, 401, CONFIG_LIMIT_US) <
+                  INT64_MAX);
   jd_published_store_set_mode (fixture.store, JD_STORE_SILENT);
   jd_host_fixture_run (&fixture, 0.1);
   publish_guest_key (&fixture, true);
   jd_host_fixture_run (&fixture, (double)CONFIG_LIMIT_US / (double)JD_US_PER_S);
-  CU_ASSERT_EQUAL (status_with_guest_key (&fixture), 503);
+  CU_ASSERT_EQUAL (status_with_guest_key (&fixture, COPIER), 503);
   jd_published_store_set_mode (fixture.store, JD_STORE_SERVES);
-  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 200, 2 * CONFIG_LIMIT_US) < INT64_MAX);
+  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, COPIER, 200, 2 * CONFIG_LIMIT_US) <
+                  INT64_MAX);
   jd_host_fixture_close (&fixture);
 }
 
@@ -116,7 +121,8 @@
   static jd_host_fixture_t fixture = { .has_one_zone = true };
   jd_host_fixture_open (&fixture, 2, SHARDS);
   CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, COPIER, 5.0));
-  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 401, CONFIG_LIMIT_US) < INT64_MAX);
+  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, COPIER, 401, CONFIG_LIMIT_US) <
+                  INT64_MAX);
   for (int i = 0; i < 4000; i++)
     {
       char key[32], value[256];
@@ -128,7 +134,7 @@
       jd_published_store_put (fixture.store, key, value);
     }
   publish_guest_key (&fixture, true);
-  int64_t late_us = wait_for_guest_status (&fixture, 200, 4 * CONFIG_LIMIT_US);
+  int64_t late_us = wait_for_guest_status (&fixture, COPIER, 200, 4 * CONFIG_LIMIT_US);
   printf ("%.2f s ", (double)late_us / (double)JD_US_PER_S);
   CU_ASSERT_TRUE (late_us < CONFIG_LIMIT_US);
   jd_host_fixture_close (&fixture);
@@ -220,39 +226,55 @@
 
 /* Guards against a withdrawn key that works again, against a target that left and is used
  * again, and against hosts that stay on their records for ever, when the store returns
- * from an older copy: its revisions are lower than those that hosts know. */
+ * from an older copy: its revisions are lower than those that hosts know. Also for a host
+ * that starts meanwhile, whether or not it read the store for its zone before. */
 static void
 older_copy_of_the_store_takes_nothing_back (void)
 {
-  static jd_host_fixture_t fixture = { .has_one_zone = true };
-  jd_host_fixture_open (&fixture, 2, SHARDS);
-  for (uint32_t i = 0; i < fixture.host_count; i++)
-    CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, i, 5.0));
-  publish_guest_key (&fixture, true);
-  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 200, 3 * JD_US_PER_S) < INT64_MAX);
-  jd_published_store_keep_copy (fixture.store);
-  publish_guest_key (&fixture, false);
-  jd_host_fixture_publish_target (&fixture, 0, NULL);
-  for (int i = 0; i < 40; i++)
-    jd_published_store_put (fixture.store, "op/other", "{}");
-  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 401, 3 * JD_US_PER_S) < INT64_MAX);
-  CU_ASSERT_EQUAL (count_failed_searches (&fixture, 0.3), 0);
-  jd_published_store_restore_copy (fixture.store);
-  /* Until the operator writes again, also on a host that starts meanwhile, as soon as it
-   * has heard of another one. */
-  jd_host_fixture_run (&fixture, 2.0);
-  CU_ASSERT_EQUAL (status_with_guest_key (&fixture), 401);
-  jd_host_fixture_stop_host (&fixture, COPIER, SIGKILL);
-  fixture.first_start = false;
-  jd_host_fixture_start_host (&fixture, COPIER);
-  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, COPIER, 5.0));
-  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 401, JD_US_PER_S) < INT64_MAX);
-  publish_all_targets (&fixture);
-  publish_guest_key (&fixture, true);
-  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 200, CONFIG_LIMIT_US) < INT64_MAX);
-  publish_guest_key (&fixture, false);
-  CU_ASSERT_TRUE (wait_for_guest_status (&fixture, 401, CONFIG_LIMIT_US) < INT64_MAX);
-  jd_host_fixture_close (&fixture);
+  static const struct
+  {
+    uint32_t host;
+    double restored_s; /* Time for which the hosts know of the older copy. */
+  } cases[] = { { COPIER, 2.0 }, { READER, 2.2 } };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      static jd_host_fixture_t fixture;
+      fixture = (jd_host_fixture_t){ .has_one_zone = true };
+      jd_host_fixture_open (&fixture, 2, SHARDS);
+      uint32_t host = cases[i].host;
+      for (uint32_t k = 0; k < fixture.host_count; k++)
+        CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, k, 5.0));
+      publish_guest_key (&fixture, true);
+      CU_ASSERT_TRUE (wait_for_guest_status (&fixture, host, 200, CONFIG_LIMIT_US) <
+                      INT64_MAX);
+      jd_published_store_keep_copy (fixture.store);
+      publish_guest_key (&fixture, false);
+      jd_host_fixture_publish_target (&fixture, 0, NULL);
+      for (int k = 0; k < 40; k++)
+        jd_published_store_put (fixture.store, "op/other", "{}");
+      CU_ASSERT_TRUE (wait_for_guest_status (&fixture, host, 401, CONFIG_LIMIT_US) <
+                      INT64_MAX);
+      CU_ASSERT_EQUAL (count_failed_searches (&fixture, 0.3), 0);
+      jd_published_store_restore_copy (fixture.store);
+      /* Until the operator writes again, also on a host that starts meanwhile, as soon as
+       * it has heard of another one. */
+      jd_host_fixture_run (&fixture, cases[i].restored_s);
+      CU_ASSERT_EQUAL (status_with_guest_key (&fixture, host), 401);
+      jd_host_fixture_stop_host (&fixture, host, SIGKILL);
+      fixture.first_start = false;
+      jd_host_fixture_start_host (&fixture, host);
+      CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, host, 5.0));
+      CU_ASSERT_TRUE (wait_for_guest_status (&fixture, host, 401, JD_US_PER_S) <
+                      INT64_MAX);
+      publish_all_targets (&fixture);
+      publish_guest_key (&fixture, true);
+      CU_ASSERT_TRUE (wait_for_guest_status (&fixture, host, 200, CONFIG_LIMIT_US) <
+                      INT64_MAX);
+      publish_guest_key (&fixture, false);
+      CU_ASSERT_TRUE (wait_for_guest_status (&fixture, host, 401, CONFIG_LIMIT_US) <
+                      INT64_MAX);
+      jd_host_fixture_close (&fixture);
+    }
 }
 
 /* Guards against hosts that lose their configuration and targets to a store that returns
--- a/test/unit/test_peer_table.c
+++ b/test/unit/test_peer_table.c
@@ -133,29 +133,34 @@
   jd_peer_table_free (table);
 }
 
+/* Returns the address of the host to copy changes from; 0 for none. */
+static uint32_t
+best_source_ip (const jd_peer_table_t *table, int64_t now_us)
+{
+  const jd_peer_t *peer =
+      jd_peer_table_best_source (table, JD_SOURCE_FOR_CHANGES, 10, MAX_AGE_US, now_us);
+  return peer ? peer->state.ip : 0;
+}
+
 /* Guards against copies from another zone or of all records although a host of the own
  * zone has the changes, and against copies from a host whose records are old. */
 static void
 host_of_own_zone_with_changes_is_copied (void)
 {
   jd_peer_table_t *table = jd_peer_table_new (5, "a");
-  CU_ASSERT_PTR_NULL (jd_peer_table_best_source (table, 10, MAX_AGE_US, SECOND_US));
+  CU_ASSERT_EQUAL (best_source_ip (table, SECOND_US), 0);
   receive_state (table, 1, "b", 1, true, SECOND_US);
-  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, SECOND_US)->state.ip,
-                   1);
+  CU_ASSERT_EQUAL (best_source_ip (table, SECOND_US), 1);
   receive_state (table, 2, "a", 1, true, SECOND_US);
-  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, SECOND_US)->state.ip,
-                   2);
+  CU_ASSERT_EQUAL (best_source_ip (table, SECOND_US), 2);
   jd_peer_state_t state = make_state (2, "a", 2, true);
   state.tombstones_since = 11;
   jd_peer_table_update (table, &state, SECOND_US);
-  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, SECOND_US)->state.ip,
-                   1);
+  CU_ASSERT_EQUAL (best_source_ip (table, SECOND_US), 1);
   state = make_state (1, "b", 2, true);
   state.feed_age_us = MAX_AGE_US;
   jd_peer_table_update (table, &state, SECOND_US);
-  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, SECOND_US)->state.ip,
-                   2);
+  CU_ASSERT_EQUAL (best_source_ip (table, SECOND_US), 2);
   jd_peer_table_free (table);
 }
 
@@ -170,14 +175,12 @@
   int64_t now_us = SECOND_US + SECOND_US / 2;
   jd_peer_table_copy_failed (table, 1, now_us);
   jd_peer_table_copy_failed (table, 77, now_us);
-  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, now_us)->state.ip,
-                   2);
+  CU_ASSERT_EQUAL (best_source_ip (table, now_us), 2);
   jd_peer_table_copy_failed (table, 2, now_us);
-  CU_ASSERT_PTR_NULL (jd_peer_table_best_source (table, 10, MAX_AGE_US, now_us));
+  CU_ASSERT_EQUAL (best_source_ip (table, now_us), 0);
   now_us += SECOND_US;
   receive_state (table, 1, "a", 2, true, now_us);
-  CU_ASSERT_EQUAL (jd_peer_table_best_source (table, 10, MAX_AGE_US, now_us)->state.ip,
-                   1);
+  CU_ASSERT_EQUAL (best_source_ip (table, now_us), 1);
   jd_peer_table_free (table);
 }
 
--- a/test/unit/test_record_plan.c
+++ b/test/unit/test_record_plan.c
@@ -190,6 +190,40 @@
   jd_peer_table_free (peers);
 }
 
+/* Guards against a host that starts while the store is behind and learns nothing of what
+ * others know, because no other host reads the store, or because its source has just
+ * started too. */
+static void
+starting_host_copies_from_any_established_host (void)
+{
+  jd_record_budget_t budget = jd_record_budget_new (LIMIT_US);
+  jd_peer_table_t *peers = jd_peer_table_new (OWN_IP, "a");
+  jd_record_view_t view = { .revision = REVISION,
+                            .as_of_us = SECOND_US,
+                            .started_us = SECOND_US,
+                            .reads_store = true,
+                            .needs_full_copy = true };
+  receive_reader (peers, 1, "a", 1, SECOND_US);
+  CU_ASSERT_PTR_NULL (jd_record_plan_offer (&budget, peers, &view, SECOND_US));
+  jd_peer_state_t copier = { .ip = 2,
+                             .incarnation = 7,
+                             .sequence = 1000,
+                             .zone = "b",
+                             .feed_revision = REVISION,
+                             .changed_revision = REVISION,
+                             .tombstones_since = 1 };
+  jd_peer_table_update (peers, &copier, SECOND_US);
+  const jd_peer_t *source = jd_record_plan_offer (&budget, peers, &view, SECOND_US);
+  CU_ASSERT_TRUE (source && source->state.ip == copier.ip);
+  jd_record_plan_t plan = jd_record_plan_choose (&budget, peers, &view, SECOND_US);
+  CU_ASSERT_TRUE (plan.source && plan.source->state.ip == copier.ip);
+  /* Changes are copied from hosts that read the store only. */
+  view.needs_full_copy = view.reads_store = false;
+  source = jd_record_plan_offer (&budget, peers, &view, SECOND_US);
+  CU_ASSERT_TRUE (source && source->state.ip == 1);
+  jd_peer_table_free (peers);
+}
+
 int
 main (void)
 {
@@ -202,6 +236,8 @@
     { "own reads of a zone are spread", own_reads_of_a_zone_are_spread },
     { "store is read only if copies do not suffice",
       store_is_read_only_if_copies_do_not_suffice },
+    { "starting host copies from any established host",
+      starting_host_copies_from_any_established_host },
   };
   return JD_TEST_RUN ("record_plan", cases);
 }
