fix(membership): copy a configuration that the store lacks

The store has returned from a copy that was made before the configuration was first written. Hosts keep the configuration that they have, but one that started then had none, served nobody and took none from them: it took the record, which was unknown to it at a revision up to which it was complete, for one that had been removed.

Cause: jd_record_feed_put () applied that rule to records whose removal is ignored, too. A host that ignores the removal says nothing wrong by having the record.

unit_test_record_feed, "configuration that the older copy lacks is copied": failed before, passes now.

--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -123,6 +123,26 @@
          !feed->events.is_newer (feed->events.context, item->key, known, listed);
 }
 
+/* Returns how the removal of a record with a value is handled. */
+static jd_removal_handling_t
+judge_removal (const jd_record_feed_t *feed, const char *key, GBytes *value)
+{
+  return feed->events.judge_removal
+             ? feed->events.judge_removal (feed->events.context, key, value)
+             : JD_REMOVAL_DOUBT;
+}
+
+/* Returns TRUE if a record is unknown because it was removed: this host is complete up to
+ * its revision. Another host may not have heard of the removal, or it ignores it, as this
+ * host would have done if it had known the record. */
+static bool
+is_known_removed (const jd_record_feed_t *feed, const char *key, GBytes *value,
+                  int64_t revision)
+{
+  return revision <= feed->revision && !g_hash_table_contains (feed->by_key, key) &&
+         judge_removal (feed, key, value) != JD_REMOVAL_IGNORE;
+}
+
 /* Applies the value of a record at a revision and adds a reference to it. Returns TRUE
  * if the change matters to other hosts. Ignores a revision that is not newer than the
  * stored one. A record that returns after its removal matters to other hosts even if its
@@ -132,9 +152,7 @@
 jd_record_feed_put (jd_record_feed_t *feed, const char *key, GBytes *value,
                     int64_t revision)
 {
-  /* A host that is complete up to this revision and lacks the record knows that it was
-   * removed; another host may not have heard of that. */
-  if (revision <= feed->revision && !g_hash_table_contains (feed->by_key, key))
+  if (is_known_removed (feed, key, value, revision))
     return false;
   jd_feed_item_t *item = find_item (feed, key);
   if (revision <= item->revision && !is_known_better (feed, item, value, revision))
@@ -222,15 +240,6 @@
   feed->tombstones_since = MAX (feed->tombstones_since, dropped_revision);
 }
 
-/* Returns how the removal of a record with a value is handled. */
-static jd_removal_handling_t
-judge_removal (const jd_record_feed_t *feed, const char *key, GBytes *value)
-{
-  return feed->events.judge_removal
-             ? feed->events.judge_removal (feed->events.context, key, value)
-             : JD_REMOVAL_DOUBT;
-}
-
 /* Returns the number of records that are not removed. */
 static uint32_t
 count_records (const jd_record_feed_t *feed)
--- a/test/unit/test_record_feed.c
+++ b/test/unit/test_record_feed.c
@@ -446,6 +446,29 @@
   jd_record_feed_free (copied);
 }
 
+/* Guards against a host that starts without any configuration because the older copy of
+ * the store has none, although other hosts have kept theirs. */
+static void
+configuration_that_the_older_copy_lacks_is_copied (void)
+{
+  event_counts_t known_counts = { 0 }, started_counts = { 0 };
+  jd_record_feed_t *known = new_guarded_feed (&known_counts);
+  jd_record_feed_t *started = new_guarded_feed (&started_counts);
+  int64_t copy = jd_record_revision (2, 300);
+  put_record (known, "configuration", "c3", jd_record_revision (1, 500));
+  put_record (known, "target", "a1", jd_record_revision (1, 400));
+  GHashTable *keys = g_hash_table_new (g_str_hash, g_str_equal);
+  jd_record_feed_retain (known, keys, copy);
+  jd_record_feed_advance (known, copy, 10);
+  CU_ASSERT_EQUAL (known_counts.removals, 1);
+  jd_record_feed_advance (started, copy + 5, 20);
+  jd_record_feed_each_after (known, -1, copy_item, started);
+  CU_ASSERT_EQUAL (started_counts.changes, 1);
+  g_hash_table_destroy (keys);
+  jd_record_feed_free (started);
+  jd_record_feed_free (known);
+}
+
 /* Guards against records that seem to be current because a host says so that has not
  * heard of the new generation. */
 static void
@@ -524,6 +547,8 @@
     { "hosts learn what the older copy lacks", hosts_learn_what_the_older_copy_lacks },
     { "copied values belong to the later generation",
       copied_values_belong_to_the_later_generation },
+    { "configuration that the older copy lacks is copied",
+      configuration_that_the_older_copy_lacks_is_copied },
     { "earlier generation says nothing", earlier_generation_says_nothing },
     { "copy brings no removed record back", copy_brings_no_removed_record_back },
     { "configuration stays without a record", configuration_stays_without_a_record },
