--- a/test/unit/test_record_feed.c
+++ b/test/unit/test_record_feed.c
@@ -422,8 +422,8 @@
   jd_record_feed_free (known);
 }
 
-/* Guards against a withdrawn key that works again on a host that started: the host that it
- * copied from had itself copied the configuration, and had it at a revision of the
+/* Guards against a withdrawn key that works again on a host that started: the host that
+ * it copied from had itself copied the configuration, and had it at a revision of the
  * generation before (process_test_record_source, once in CI). */
 static void
 copied_values_belong_to_the_later_generation (void)
