fix(daemons): copy at once after giving up reading the store

A host that has given up reading the store, because a host of its zone with a lower address does, ignored offers of other hosts for three read intervals and copied only at its own steps. While it held the removals of records that had vanished it did not hear that they had returned, dropped all targets and refused callers for 50 ms.

Trace: host-0 reads at 1.264 s and host-2 copies at 1.265 s; host-1 read for the last time at 0 s and gave up at 1.0 s, applies the removals at 2.45 s and copies at 2.50 s. Ruled out: the length of the hold, which covers the next read, and a lost message, as host-1 ignored each offer.

Cause: "reads the store" was concluded from the time of the last read. It now also needs the role that the last step chose. Other hosts and the zone's choice of a reader get the same answer, so that a host that gave up is no source any more.

process_test_record_source, "host that gives up reading copies at once": failed before, passes now. random_test_record_age has the role, too.

--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -55,8 +55,7 @@
                            the start. Such a host may know more than a store that has
                            returned from an older copy. */
   bool is_full_copy;    /* The running or last copy is of all these records. */
-  bool is_store_reader; /* Since the last timer step: FALSE if the host copies from a
-                           peer. */
+  bool is_store_reader; /* Since the last step: FALSE if the host copies from a peer. */
 };
 
 static void take_step (jd_record_source_t *source);
@@ -108,7 +107,7 @@
 bool
 jd_record_source_reads_store (const jd_record_source_t *source, int64_t now_us)
 {
-  return source->last_read_us > 0 && !source->store_failed &&
+  return source->is_store_reader && source->last_read_us > 0 && !source->store_failed &&
          now_us - source->last_read_us < read_age_max_us (source);
 }
 
@@ -120,9 +119,9 @@
   return as_of_us > 0 && now_us - as_of_us < source->budget.own_read_max_us;
 }
 
-/* Logs a change between reading the store and copying from a peer. */
+/* Sets whether this host reads the store or copies from a peer, and logs a change. */
 static void
-log_role_change (jd_record_source_t *source, bool reads_store)
+set_role (jd_record_source_t *source, bool reads_store)
 {
   if (reads_store == source->is_store_reader)
     return;
@@ -391,7 +390,7 @@
   jd_record_view_t view = view_records (source, now_us);
   jd_record_plan_t plan =
       jd_record_plan_choose (&source->budget, source->options.peers, &view, now_us);
-  log_role_change (source, plan.is_reader);
+  set_role (source, plan.is_reader || plan.is_own_read_due);
   if (plan.is_own_read_due && plan.starts_read)
     jd_log_event (G_LOG_LEVEL_INFO, "own_read_due",
                   "age_ms=%" G_GINT64_FORMAT " copying=%d copying_from=%s",
--- a/test/process/test_record_source.c
+++ b/test/process/test_record_source.c
@@ -395,11 +395,55 @@
   ev_loop_destroy (loop);
 }
 
+/* Guards against a host that no longer reads the store, because a host with a lower
+ * address does, and ignores its offers for three read intervals: it held removals without
+ * copying what had returned meanwhile, and refused callers. */
+static void
+host_that_gives_up_reading_copies_at_once (void)
+{
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  uint32_t own_ip = INADDR_LOOPBACK + 9;
+  uint16_t port = 0;
+  int listener = open_lost_host (own_ip - 1, &port);
+  jd_feed_events_t events = { 0 };
+  jd_record_feed_t *feed = jd_record_feed_new (&events);
+  jd_peer_table_t *peers = jd_peer_table_new (own_ip, "zone-0");
+  jd_record_source_options_t options = {
+    .loop = loop,
+    .feed = feed,
+    .peers = peers,
+    .peer_port = port,
+    .is_first_start = true,
+    .change_limit_us = LOST_LIMIT_US,
+    .heartbeat_interval_us = JD_US_PER_S,
+    .read_store = note_store_read,
+    .on_changed = ignore_change,
+  };
+  store_read_us = 0;
+  jd_record_source_t *source = jd_record_source_new (&options);
+  jd_test_run_loop (loop, 0.1);
+  CU_ASSERT_TRUE (store_read_us > 0);
+  jd_record_feed_advance (feed, 5, store_read_us);
+  jd_record_source_on_store_read (source, true, store_read_us);
+  CU_ASSERT_TRUE (jd_record_source_reads_store (source, jd_monotonic_us ()));
+  receive_last_message (peers, own_ip - 1, 0);
+  double interval_s = (double)LOST_LIMIT_US / (double)JD_US_PER_S / 3;
+  jd_test_run_loop (loop, interval_s + 0.1);
+  CU_ASSERT_FALSE (jd_record_source_reads_store (source, jd_monotonic_us ()));
+  jd_record_source_free (source);
+  jd_peer_table_free (peers);
+  jd_record_feed_free (feed);
+  close (listener);
+  ev_loop_destroy (loop);
+}
+
 int
 main (void)
 {
   static const jd_test_case_t cases[] = {
     { "waits for lost sources do not add up", waits_for_lost_sources_do_not_add_up },
+    { "host that gives up reading copies at once",
+      host_that_gives_up_reading_copies_at_once },
     { "changes apply in time after the reader is killed",
       changes_apply_in_time_after_the_reader_is_killed },
     { "old configuration denies no request", old_configuration_denies_no_request },
--- a/test/random/test_record_age.c
+++ b/test/random/test_record_age.c
@@ -45,6 +45,7 @@
   uint64_t sequence;
   jd_peer_table_t *peers;
   jd_record_view_t view;
+  bool is_store_reader;
   int64_t last_read_us;
   int64_t next_step_us;
   int64_t next_state_us;
@@ -133,6 +134,7 @@
   jd_record_plan_t plan =
       jd_record_plan_choose (&sim->budget, host->peers, &host->view, sim->now_us);
   host->next_step_us = sim->now_us + plan.next_step_in_us;
+  host->is_store_reader = plan.is_reader || plan.is_own_read_due;
   if (plan.starts_read)
     {
       sim->read_count++;
@@ -253,7 +255,8 @@
         start_host (sim, host);
       return;
     }
-  host->view.reads_store = host->last_read_us > 0 && !host->view.store_failed &&
+  host->view.reads_store = host->is_store_reader && host->last_read_us > 0 &&
+                           !host->view.store_failed &&
                            sim->now_us - host->last_read_us <
                                READER_AGE_INTERVALS * sim->budget.read_interval_us;
   if (sim->has_losses && !host->read.is_running && draw_unit (sim) < 0.0001)
