fix(daemons): read the store soon while removals are held

While removals are held the store is read every 0.5 s, because records that vanished together may return. The first of these reads came a whole interval late, up to 2 s: the step that started the read had planned the next one before the removals were known. With the hold of 1.2 s and intervals of 1 s that left 0.2 s for the copy to all other hosts.

A read that ends while removals are held now plans the next step anew.

process_test_record_source, "store is read soon while removals are held": failed before, passes now.

--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -159,7 +159,8 @@
 }
 
 /* Handles the end of a store read. `requested_us` is the time at which the read started;
- * the records are at least that recent. After a failure the next step is planned anew. */
+ * the records are at least that recent. After a failure, and while removals are held, the
+ * next step is planned anew. */
 void
 jd_record_source_on_store_read (jd_record_source_t *source, bool success,
                                 int64_t requested_us)
@@ -188,6 +189,9 @@
   source->read_again_us = 0;
   source->last_read_us = requested_us;
   source->options.on_changed (source->options.context);
+  /* Records that have vanished may return soon; the step before did not know. */
+  if (jd_record_feed_removals_held_until_us (source->options.feed) > now_us)
+    take_step (source);
 }
 
 /* Applies one record of a copy to the feed. Adds its key to `keys` unless it is removed.
--- a/test/process/test_record_source.c
+++ b/test/process/test_record_source.c
@@ -395,46 +395,84 @@
   ev_loop_destroy (loop);
 }
 
-/* Guards against a host that no longer reads the store, because a host with a lower
- * address does, and ignores its offers for three read intervals: it held removals without
- * copying what had returned meanwhile, and refused callers. */
+typedef struct lone_source
+{
+  struct ev_loop *loop;
+  jd_record_feed_t *feed;
+  jd_peer_table_t *peers;
+  jd_record_source_t *source;
+} lone_source_t;
+
+/* Opens a source without a store or other hosts and ends its first read with success. */
 static void
-host_that_gives_up_reading_copies_at_once (void)
+open_lone_source (lone_source_t *lone, uint32_t own_ip, uint16_t peer_port,
+                  int64_t change_limit_us)
 {
-  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
-  uint32_t own_ip = INADDR_LOOPBACK + 9;
-  uint16_t port = 0;
-  int listener = open_lost_host (own_ip - 1, &port);
-  jd_feed_events_t events = { 0 };
-  jd_record_feed_t *feed = jd_record_feed_new (&events);
-  jd_peer_table_t *peers = jd_peer_table_new (own_ip, "zone-0");
+  static const jd_feed_events_t events;
+  lone->loop = ev_loop_new (EVFLAG_AUTO);
+  lone->feed = jd_record_feed_new (&events);
+  lone->peers = jd_peer_table_new (own_ip, "zone-0");
   jd_record_source_options_t options = {
-    .loop = loop,
-    .feed = feed,
-    .peers = peers,
-    .peer_port = port,
+    .loop = lone->loop,
+    .feed = lone->feed,
+    .peers = lone->peers,
+    .peer_port = peer_port,
     .is_first_start = true,
-    .change_limit_us = LOST_LIMIT_US,
+    .change_limit_us = change_limit_us,
     .heartbeat_interval_us = JD_US_PER_S,
     .read_store = note_store_read,
     .on_changed = ignore_change,
   };
   store_read_us = 0;
-  jd_record_source_t *source = jd_record_source_new (&options);
-  jd_test_run_loop (loop, 0.1);
+  lone->source = jd_record_source_new (&options);
+  jd_test_run_loop (lone->loop, 0.1);
   CU_ASSERT_TRUE (store_read_us > 0);
-  jd_record_feed_advance (feed, 5, store_read_us);
-  jd_record_source_on_store_read (source, true, store_read_us);
-  CU_ASSERT_TRUE (jd_record_source_reads_store (source, jd_monotonic_us ()));
-  receive_last_message (peers, own_ip - 1, 0);
+  jd_record_feed_advance (lone->feed, 5, store_read_us);
+}
+
+static void
+close_lone_source (lone_source_t *lone)
+{
+  jd_record_source_free (lone->source);
+  jd_peer_table_free (lone->peers);
+  jd_record_feed_free (lone->feed);
+  ev_loop_destroy (lone->loop);
+}
+
+/* Guards against a host that no longer reads the store, because a host with a lower
+ * address does, and ignores its offers for three read intervals: it held removals without
+ * copying what had returned meanwhile, and refused callers. */
+static void
+host_that_gives_up_reading_copies_at_once (void)
+{
+  uint32_t own_ip = INADDR_LOOPBACK + 9;
+  uint16_t port = 0;
+  int listener = open_lost_host (own_ip - 1, &port);
+  lone_source_t lone;
+  open_lone_source (&lone, own_ip, port, LOST_LIMIT_US);
+  jd_record_source_on_store_read (lone.source, true, store_read_us);
+  CU_ASSERT_TRUE (jd_record_source_reads_store (lone.source, jd_monotonic_us ()));
+  receive_last_message (lone.peers, own_ip - 1, 0);
   double interval_s = (double)LOST_LIMIT_US / (double)JD_US_PER_S / 3;
-  jd_test_run_loop (loop, interval_s + 0.1);
-  CU_ASSERT_FALSE (jd_record_source_reads_store (source, jd_monotonic_us ()));
-  jd_record_source_free (source);
-  jd_peer_table_free (peers);
-  jd_record_feed_free (feed);
+  jd_test_run_loop (lone.loop, interval_s + 0.1);
+  CU_ASSERT_FALSE (jd_record_source_reads_store (lone.source, jd_monotonic_us ()));
+  close_lone_source (&lone);
   close (listener);
-  ev_loop_destroy (loop);
+}
+
+/* Guards against records that have returned to the store while their removals are held,
+ * but are read only after a whole read interval, when the hold may be over. */
+static void
+store_is_read_soon_while_removals_are_held (void)
+{
+  lone_source_t lone;
+  open_lone_source (&lone, INADDR_LOOPBACK, 0, 6 * JD_US_PER_S);
+  jd_record_feed_hold_removals (lone.feed, jd_monotonic_us () + 5 * JD_US_PER_S);
+  jd_record_source_on_store_read (lone.source, true, store_read_us);
+  store_read_us = 0;
+  jd_test_run_loop (lone.loop, 0.7);
+  CU_ASSERT_TRUE (store_read_us > 0);
+  close_lone_source (&lone);
 }
 
 int
@@ -444,6 +482,8 @@
     { "waits for lost sources do not add up", waits_for_lost_sources_do_not_add_up },
     { "host that gives up reading copies at once",
       host_that_gives_up_reading_copies_at_once },
+    { "store is read soon while removals are held",
+      store_is_read_soon_while_removals_are_held },
     { "changes apply in time after the reader is killed",
       changes_apply_in_time_after_the_reader_is_killed },
     { "old configuration denies no request", old_configuration_denies_no_request },
