fix(membership): tell hosts of a record that was created again

A host that missed the removal of a record and its return with the same value, for example because the store no longer had the changes, kept the record at its old position. Hosts that had heard of the removal and then copied from it never got the record back: a target stayed unused there until one of its values changed that matters to hosts.

Cause: an equal value counted as a heartbeat. The store tells at which revision a record was created; if that is later than what this host knows, the record has been away. What a copy brings matters to hosts as it is.

unit_test_record_feed, "record created again reaches hosts that removed it": the first host announced no change before. A store that does not tell the creation is treated as before.

--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -146,11 +146,13 @@
 /* Applies the value of a record at a revision and adds a reference to it. Returns TRUE
  * if the change matters to other hosts. Ignores a revision that is not newer than the
  * stored one. A record that returns after its removal matters to other hosts even if its
- * removal has not taken effect on this one. A value from an older copy of the store
- * changes nothing but the revision, so that other hosts copy what this one knows. */
+ * removal has not taken effect on this one, or if this one never heard of it: then the
+ * record was created, at the revision `created`, after the one that is known. 0 stands
+ * for an unknown creation. A value from an older copy of the store changes nothing but
+ * the revision, so that other hosts copy what this one knows. */
 bool
 jd_record_feed_put (jd_record_feed_t *feed, const char *key, GBytes *value,
-                    int64_t revision)
+                    int64_t revision, int64_t created)
 {
   if (is_known_removed (feed, key, value, revision))
     return false;
@@ -165,10 +167,11 @@
     {
       /* Later comparisons need the newest heartbeat counter. */
       set_value (&item->value, value);
-      /* Otherwise the older copy would seem newer than this value to other hosts. */
-      if (is_later_generation (revision, item->revision))
-        item->revision = revision;
-      return false;
+      if (created <= item->revision && !is_later_generation (revision, item->revision))
+        return false;
+      item->revision = revision;
+      feed->changed_revision = MAX (feed->changed_revision, revision);
+      return true;
     }
   if (is_from_older_copy (feed, item, value, revision))
     {
--- a/src/membership/record_feed.h
+++ b/src/membership/record_feed.h
@@ -48,7 +48,7 @@
 jd_record_feed_t *jd_record_feed_new (const jd_feed_events_t *events);
 void jd_record_feed_free (jd_record_feed_t *feed);
 bool jd_record_feed_put (jd_record_feed_t *feed, const char *key, GBytes *value,
-                         int64_t revision);
+                         int64_t revision, int64_t created);
 void jd_record_feed_remove (jd_record_feed_t *feed, const char *key, int64_t revision);
 void jd_record_feed_set_doubt (jd_record_feed_t *feed, const jd_removal_doubt_t *doubt);
 void jd_record_feed_begin_batch (jd_record_feed_t *feed);
--- a/test/unit/test_record_feed.c
+++ b/test/unit/test_record_feed.c
@@ -39,14 +39,23 @@
   return jd_record_feed_new (&events);
 }
 
+/* Puts a record as the store lists it: created at one revision, written at another. */
 static void
-put_record (jd_record_feed_t *feed, const char *key, const char *text, int64_t revision)
+put_created (jd_record_feed_t *feed, const char *key, const char *text, int64_t revision,
+             int64_t created)
 {
   GBytes *value = g_bytes_new (text, strlen (text) + 1);
-  jd_record_feed_put (feed, key, value, revision);
+  jd_record_feed_put (feed, key, value, revision, created);
   g_bytes_unref (value);
 }
 
+/* Puts a record of a store that does not tell when it was created. */
+static void
+put_record (jd_record_feed_t *feed, const char *key, const char *text, int64_t revision)
+{
+  put_created (feed, key, text, revision, 0);
+}
+
 /* Guards against changes of a heartbeat counter that are copied to all hosts, and against
  * an older record that replaces a newer one. */
 static void
@@ -90,7 +99,7 @@
 copy_item (void *context, const jd_feed_item_t *item)
 {
   if (item->value)
-    jd_record_feed_put (context, item->key, item->value, item->revision);
+    jd_record_feed_put (context, item->key, item->value, item->revision, item->revision);
   else
     jd_record_feed_remove (context, item->key, item->revision);
 }
@@ -446,6 +455,31 @@
   jd_record_feed_free (copied);
 }
 
+/* Guards against a target that stays removed on a host for good: it copies from one that
+ * missed the removal, read the returned record later, and knew the same value before. */
+static void
+record_created_again_reaches_hosts_that_removed_it (void)
+{
+  event_counts_t late_counts = { 0 }, removed_counts = { 0 };
+  jd_record_feed_t *late = new_guarded_feed (&late_counts);
+  jd_record_feed_t *removed = new_guarded_feed (&removed_counts);
+  put_created (late, "k", "a1", 5, 5);
+  put_created (removed, "k", "a1", 5, 5);
+  jd_record_feed_remove (removed, "k", 10);
+  jd_record_feed_advance (removed, 11, 10);
+  put_created (late, "k", "a2", 14, 12);
+  jd_record_feed_advance (late, 15, 20);
+  CU_ASSERT_EQUAL (late_counts.changes, 1);
+  CU_ASSERT_EQUAL (jd_record_feed_changed_revision (late), 14);
+  jd_record_feed_each_after (late, 11, copy_item, removed);
+  CU_ASSERT_EQUAL (removed_counts.changes, 2);
+  /* Heartbeats of a known record are no changes. */
+  put_created (late, "k", "a3", 16, 12);
+  CU_ASSERT_EQUAL (jd_record_feed_changed_revision (late), 14);
+  jd_record_feed_free (removed);
+  jd_record_feed_free (late);
+}
+
 /* Guards against a host that starts without any configuration because the older copy of
  * the store has none, although other hosts have kept theirs. */
 static void
@@ -547,6 +581,8 @@
     { "hosts learn what the older copy lacks", hosts_learn_what_the_older_copy_lacks },
     { "copied values belong to the later generation",
       copied_values_belong_to_the_later_generation },
+    { "record created again reaches hosts that removed it",
+      record_created_again_reaches_hosts_that_removed_it },
     { "configuration that the older copy lacks is copied",
       configuration_that_the_older_copy_lacks_is_copied },
     { "earlier generation says nothing", earlier_generation_says_nothing },
