refactor(membership): pass the view of the records, name the shortest retry

follow_peer () built the view that its callers have already. The shortest time to the next read after a refused one has a name of its own; its value is the same.

--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -339,11 +339,12 @@
  * this host needs them and the peer is established. If there are no changes, only
  * advances the revision and time of the feed. No copy may be running. */
 static void
-follow_peer (jd_record_source_t *source, const jd_peer_t *peer)
+follow_peer (jd_record_source_t *source, const jd_peer_t *peer,
+             const jd_record_view_t *view, int64_t now_us)
 {
   jd_record_feed_t *feed = source->options.feed;
-  bool is_full_copy = source->needs_full_copy && jd_peer_is_established (peer);
-  int64_t revision = is_full_copy ? 0 : jd_record_feed_revision (feed);
+  bool is_full_copy = view->needs_full_copy && jd_peer_is_established (peer);
+  int64_t revision = is_full_copy ? 0 : view->revision;
   if (revision > 0 && peer->state.changed_revision <= revision)
     {
       jd_record_feed_advance (feed, peer->state.feed_revision,
@@ -357,15 +358,13 @@
   };
   char target[64];
   g_snprintf (target, sizeof (target), "/records?after=%" G_GINT64_FORMAT, revision);
-  int64_t now_us = jd_monotonic_us ();
-  jd_record_view_t view = view_records (source, now_us);
   source->is_full_copy = is_full_copy;
   source->copy_requested_us = now_us;
   source->copy_peer_ip = peer->state.ip;
   g_strlcpy (source->copy_peer_name, peer->state.name, sizeof (source->copy_peer_name));
   jd_http_client_set_address (source->client, &address);
   jd_http_client_get (source->client, target,
-                      jd_record_plan_copy_limit_us (&source->budget, &view, now_us),
+                      jd_record_plan_copy_limit_us (&source->budget, view, now_us),
                       on_copy_done, source);
 }
 
@@ -406,7 +405,7 @@
   if (plan.starts_read)
     read_store (source, plan.read_limit_us, now_us);
   if (plan.source)
-    follow_peer (source, plan.source);
+    follow_peer (source, plan.source, &view, now_us);
 }
 
 /* Timer callback: the next step is due. */
@@ -426,7 +425,7 @@
   const jd_peer_t *peer =
       jd_record_plan_offer (&source->budget, source->options.peers, &view, now_us);
   if (peer)
-    follow_peer (source, peer);
+    follow_peer (source, peer, &view, now_us);
 }
 
 /* Creates a source and starts its timer. Free with jd_record_source_free. */
--- a/src/membership/record_plan.c
+++ b/src/membership/record_plan.c
@@ -22,9 +22,10 @@
  * it takes up to 100 times as long. */
 #define READ_TIMEOUT_MAX_US (1200 * JD_US_PER_MS)
 #define READ_TIMEOUT_MIN_US (200 * JD_US_PER_MS)
-/* Time between a failed read of the store and the next one while the limit cannot be
- * met. */
-#define READ_RETRY_US (700 * JD_US_PER_MS)
+/* Shortest time from the start of a read that was refused to the next one; the longest
+ * one, also while the limit cannot be met. */
+#define READ_RETRY_MIN_US (200 * JD_US_PER_MS)
+#define READ_RETRY_MAX_US (700 * JD_US_PER_MS)
 /* A full copy is about 20 kB compressed. Many hosts may request one at the same time over
  * a link of 20 Mbit/s. */
 #define COPY_TIMEOUT_MAX_US (1500 * JD_US_PER_MS)
@@ -89,9 +90,9 @@
 {
   int64_t left_us = age_start_us (view) + budget->limit_us - now_us;
   if (left_us <= 0)
-    return now_us + READ_RETRY_US;
-  int64_t wait_us = CLAMP ((left_us + now_us - read_started_us) / 2, READ_TIMEOUT_MIN_US,
-                           READ_RETRY_US);
+    return now_us + READ_RETRY_MAX_US;
+  int64_t wait_us = CLAMP ((left_us + now_us - read_started_us) / 2, READ_RETRY_MIN_US,
+                           READ_RETRY_MAX_US);
   return MAX (read_started_us + wait_us, now_us);
 }
 
--- a/src/membership/record_plan.h
+++ b/src/membership/record_plan.h
@@ -10,11 +10,10 @@
  * reads of the store and between them. */
 typedef struct jd_record_budget
 {
-  int64_t limit_us; /* At this age records may lack a change that has to apply. */
-  int64_t
-      read_interval_us;    /* Time between two reads of the host that reads for a zone. */
-  int64_t own_read_min_us; /* From this age on a host reads the store itself, whatever */
-  int64_t own_read_max_us; /* other hosts offer; at the latest at the second one. */
+  int64_t limit_us;         /* At this age records may lack a change that has to apply. */
+  int64_t read_interval_us; /* Between two reads of the host that reads for its zone. */
+  int64_t own_read_min_us;  /* From this age on a host reads the store itself, whatever */
+  int64_t own_read_max_us;  /* other hosts offer; at the latest at the second one. */
 } jd_record_budget_t;
 
 /* The state of a host's published records. */
--- a/src/routing/extra_pool.h
+++ b/src/routing/extra_pool.h
@@ -46,8 +46,8 @@
   double slack_per_s; /* Extra attempts added to its budget per second. */
   double reserve;     /* Most unused extra attempts that are kept. */
   double borrow_limit;
-  double window_slack; /* See jd_extra_budget_t. */
-  uint32_t requesting_hosts;
+  double window_slack;       /* See jd_extra_budget_t. */
+  uint32_t requesting_hosts; /* See jd_extra_budget_t. */
 } jd_extra_shares_t;
 
 jd_extra_shares_t jd_extra_shares (const jd_extra_slack_t *slack);
