fix(membership): announce equal values that may follow missed changes

After all writers had written again, some hosts still had an old state of a target, or none of it: a target stayed unused, or in use with an old state, until one of its values changed that matters.

Cause: the host that reads the store takes an equal value for a heartbeat and does not announce it. That is right only if it heard both values as changes. It is wrong if the value was listed by a whole read (a->b->a was missed with the store's history), or if the value before was listed or copied and the store had returned from an older copy: other hosts kept what they knew.

An equal value now counts as a heartbeat only if it and the value before it were heard as changes of the store (jd_record_origin_t). This covers what the revision of the creation did in and what the move to the later generation did; both go. The price: after a host takes over the reading of the store, each record is announced once more, about one copy of all records a host.

unit_test_record_feed, "equal value after a gap reaches other hosts", holds it.

--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -209,8 +209,8 @@
       if (value)
         {
           GBytes *bytes = g_bytes_new (value, value_bytes);
-          /* A copy has what matters to hosts at each revision. */
-          jd_record_feed_put (source->options.feed, key, bytes, revision, revision);
+          jd_record_feed_put (source->options.feed, key, bytes, revision,
+                              JD_RECORD_COPIED);
           g_bytes_unref (bytes);
           g_hash_table_add (keys, g_strdup (key));
         }
--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -92,14 +92,33 @@
   *reference = value;
 }
 
-/* Returns TRUE if another host knows more of a record at the revision at which this one
- * knows a value. Two hosts differ at a revision only if the store has returned from an
- * older copy, and one of them knows what was written after that copy was made. */
+/* Returns how the removal of a record with a value is handled. */
+static jd_removal_handling_t
+judge_removal (const jd_record_feed_t *feed, const char *key, GBytes *value)
+{
+  return feed->events.judge_removal
+             ? feed->events.judge_removal (feed->events.context, key, value)
+             : JD_REMOVAL_DOUBT;
+}
+
+/* Returns TRUE if a value stays in force when the store lacks its record. The writer's
+ * order alone decides between such values, because hosts notice at different positions
+ * that the record is missing. */
+static bool
+is_kept (const jd_record_feed_t *feed, const char *key, GBytes *value)
+{
+  return judge_removal (feed, key, value) == JD_REMOVAL_IGNORE;
+}
+
+/* Returns TRUE if another host knows more of a record although its revision is not newer
+ * than the one at which this host knows a value. Two hosts differ at a revision only if
+ * the store has returned from an older copy, and one of them knows what was written after
+ * that copy was made. */
 static bool
 is_known_better (const jd_record_feed_t *feed, const jd_feed_item_t *item, GBytes *listed,
                  int64_t revision)
 {
-  return revision == item->revision && item->value && feed->events.is_newer &&
+  return item->value && feed->events.is_newer && revision == item->revision &&
          feed->events.is_newer (feed->events.context, item->key, item->value, listed);
 }
 
@@ -123,15 +142,6 @@
          !feed->events.is_newer (feed->events.context, item->key, known, listed);
 }
 
-/* Returns how the removal of a record with a value is handled. */
-static jd_removal_handling_t
-judge_removal (const jd_record_feed_t *feed, const char *key, GBytes *value)
-{
-  return feed->events.judge_removal
-             ? feed->events.judge_removal (feed->events.context, key, value)
-             : JD_REMOVAL_DOUBT;
-}
-
 /* Returns TRUE if a record is unknown because it was removed: this host is complete up to
  * its revision. Another host may not have heard of the removal, or it ignores it, as this
  * host would have done if it had known the record. */
@@ -140,25 +150,28 @@
                   int64_t revision)
 {
   return revision <= feed->revision && !g_hash_table_contains (feed->by_key, key) &&
-         judge_removal (feed, key, value) != JD_REMOVAL_IGNORE;
+         !is_kept (feed, key, value);
 }
 
 /* Applies the value of a record at a revision and adds a reference to it. Returns TRUE
  * if the change matters to other hosts. Ignores a revision that is not newer than the
- * stored one. A record that returns after its removal matters to other hosts even if its
- * removal has not taken effect on this one, or if this one never heard of it: then the
- * record was created, at the revision `created`, after the one that is known. 0 stands
- * for an unknown creation. A value from an older copy of the store changes nothing but
- * the revision, so that other hosts copy what this one knows. */
+ * stored one. An equal value is a heartbeat, and does not matter, if it and the one
+ * before were heard as changes of the store. One that was listed or copied may follow
+ * changes that this host missed, or may be from an older copy of the store. A record that
+ * returns after its removal matters to other hosts even if its removal has not taken
+ * effect on this one. A value from an older copy of the store changes nothing but the
+ * revision, so that other hosts copy what this one knows. */
 bool
 jd_record_feed_put (jd_record_feed_t *feed, const char *key, GBytes *value,
-                    int64_t revision, int64_t created)
+                    int64_t revision, jd_record_origin_t origin)
 {
   if (is_known_removed (feed, key, value, revision))
     return false;
   jd_feed_item_t *item = find_item (feed, key);
   if (revision <= item->revision && !is_known_better (feed, item, value, revision))
     return false;
+  bool may_be_heartbeat = origin == JD_RECORD_WRITTEN && item->is_written;
+  item->is_written = origin == JD_RECORD_WRITTEN;
   GBytes *held_value = g_hash_table_lookup (feed->held, key);
   GBytes *old_value = held_value ? held_value : item->value;
   bool is_same =
@@ -167,7 +180,7 @@
     {
       /* Later comparisons need the newest heartbeat counter. */
       set_value (&item->value, value);
-      if (created <= item->revision && !is_later_generation (revision, item->revision))
+      if (may_be_heartbeat)
         return false;
       item->revision = revision;
       feed->changed_revision = MAX (feed->changed_revision, revision);
--- a/src/membership/record_feed.h
+++ b/src/membership/record_feed.h
@@ -14,8 +14,18 @@
   GBytes *value;      /* NULL for a removed record. */
   GBytes *last_value; /* Value before the removal; NULL: unknown, or not removed. */
   int64_t revision;   /* Position of the last change that matters to hosts. */
+  bool is_written;    /* Heard as a change of the store, not listed or copied. */
 } jd_feed_item_t;
 
+/* Where a host has the value of a record from. */
+typedef enum jd_record_origin
+{
+  JD_RECORD_WRITTEN, /* It heard of each change of the record before this one. */
+  JD_RECORD_LISTED,  /* A whole read of the store, which may have returned from an older
+                        copy. */
+  JD_RECORD_COPIED,  /* Another host. */
+} jd_record_origin_t;
+
 /* The published records that this host has, and the time at which they were current.
  * Hosts copy the changes after a revision from each other. */
 typedef struct jd_record_feed jd_record_feed_t;
@@ -48,7 +58,7 @@
 jd_record_feed_t *jd_record_feed_new (const jd_feed_events_t *events);
 void jd_record_feed_free (jd_record_feed_t *feed);
 bool jd_record_feed_put (jd_record_feed_t *feed, const char *key, GBytes *value,
-                         int64_t revision, int64_t created);
+                         int64_t revision, jd_record_origin_t origin);
 void jd_record_feed_remove (jd_record_feed_t *feed, const char *key, int64_t revision);
 void jd_record_feed_set_doubt (jd_record_feed_t *feed, const jd_removal_doubt_t *doubt);
 void jd_record_feed_begin_batch (jd_record_feed_t *feed);
--- a/test/stand_ins/published_store.c
+++ b/test/stand_ins/published_store.c
@@ -19,7 +19,6 @@
   char *value;     /* NULL: the record was removed. */
   char *item_text; /* Sent in place of the item; NULL: none. */
   int64_t revision;
-  int64_t created; /* Revision since which the record exists. */
 } jd_stored_event_t;
 
 struct jd_published_store
@@ -58,30 +57,18 @@
   jd_stored_event_t *event = g_new0 (jd_stored_event_t, 1);
   event->key = g_strdup (key);
   event->value = g_strdup (value);
-  event->revision = event->created = revision;
+  event->revision = revision;
   return event;
 }
 
-static jd_stored_event_t *
-event_copy (const jd_stored_event_t *event)
-{
-  jd_stored_event_t *copy = event_new (event->key, event->value, event->revision);
-  copy->item_text = g_strdup (event->item_text);
-  copy->created = event->created;
-  return copy;
-}
-
 /* Adds or replaces a record and adds the change to the history. */
 void
 jd_published_store_put (jd_published_store_t *store, const char *key, const char *value)
 {
-  const jd_stored_event_t *before = g_tree_lookup (store->items, key);
-  int64_t created = before ? before->created : store->revision + 1;
   store->revision++;
   jd_stored_event_t *event = event_new (key, value, store->revision);
-  event->created = created;
-  g_ptr_array_add (store->history, event_copy (event));
   g_tree_replace (store->items, event->key, event);
+  g_ptr_array_add (store->history, event_new (key, value, store->revision));
 }
 
 /* Adds an entry with a text of its own, and the change to the history. */
@@ -129,6 +116,14 @@
   g_ptr_array_free (keys, TRUE);
 }
 
+static jd_stored_event_t *
+event_copy (const jd_stored_event_t *event)
+{
+  jd_stored_event_t *copy = event_new (event->key, event->value, event->revision);
+  copy->item_text = g_strdup (event->item_text);
+  return copy;
+}
+
 /* Adds a copy of a record to a list. */
 static gboolean
 copy_record (gpointer key, gpointer value, gpointer data)
@@ -200,7 +195,6 @@
     }
   json_object_set_new (object, "key", json_string (event->key));
   json_object_set_new (object, "revision", json_integer (event->revision));
-  json_object_set_new (object, "created", json_integer (event->created));
   if (!event->value)
     {
       json_object_set_new (object, "removed", json_true ());
--- a/test/unit/test_record_feed.c
+++ b/test/unit/test_record_feed.c
@@ -39,21 +39,22 @@
   return jd_record_feed_new (&events);
 }
 
-/* Puts a record as the store lists it: created at one revision, written at another. */
+/* Puts a record that a whole read of the store lists. */
 static void
-put_created (jd_record_feed_t *feed, const char *key, const char *text, int64_t revision,
-             int64_t created)
+put_listed (jd_record_feed_t *feed, const char *key, const char *text, int64_t revision)
 {
   GBytes *value = g_bytes_new (text, strlen (text) + 1);
-  jd_record_feed_put (feed, key, value, revision, created);
+  jd_record_feed_put (feed, key, value, revision, JD_RECORD_LISTED);
   g_bytes_unref (value);
 }
 
-/* Puts a record of a store that does not tell when it was created. */
+/* Puts a record as the next change. */
 static void
 put_record (jd_record_feed_t *feed, const char *key, const char *text, int64_t revision)
 {
-  put_created (feed, key, text, revision, 0);
+  GBytes *value = g_bytes_new (text, strlen (text) + 1);
+  jd_record_feed_put (feed, key, value, revision, JD_RECORD_WRITTEN);
+  g_bytes_unref (value);
 }
 
 /* Guards against changes of a heartbeat counter that are copied to all hosts, and against
@@ -99,7 +100,8 @@
 copy_item (void *context, const jd_feed_item_t *item)
 {
   if (item->value)
-    jd_record_feed_put (context, item->key, item->value, item->revision, item->revision);
+    jd_record_feed_put (context, item->key, item->value, item->revision,
+                        JD_RECORD_COPIED);
   else
     jd_record_feed_remove (context, item->key, item->revision);
 }
@@ -444,7 +446,7 @@
   put_record (copied, "configuration", "c3", jd_record_revision (1, 500));
   jd_record_feed_advance (copied, jd_record_revision (1, 500), 10);
   /* From a host that kept its value over the older copy. */
-  put_record (copied, "configuration", "c3", copy);
+  put_listed (copied, "configuration", "c3", copy);
   jd_record_feed_advance (copied, copy, 20);
   CU_ASSERT_EQUAL (copied_counts.changes, 1);
   put_record (started, "configuration", "b2", copy);
@@ -455,28 +457,35 @@
   jd_record_feed_free (copied);
 }
 
-/* Guards against a target that stays removed on a host for good: it copies from one that
- * missed the removal, read the returned record later, and knew the same value before. */
+/* Guards against hosts that keep a target removed, or in an old state, for good: they
+ * copy from one that missed the changes in between, and knew the same value before. */
 static void
-record_created_again_reaches_hosts_that_removed_it (void)
+equal_value_after_a_gap_reaches_other_hosts (void)
 {
-  event_counts_t late_counts = { 0 }, removed_counts = { 0 };
+  event_counts_t late_counts = { 0 }, known_counts = { 0 };
   jd_record_feed_t *late = new_guarded_feed (&late_counts);
-  jd_record_feed_t *removed = new_guarded_feed (&removed_counts);
-  put_created (late, "k", "a1", 5, 5);
-  put_created (removed, "k", "a1", 5, 5);
-  jd_record_feed_remove (removed, "k", 10);
-  jd_record_feed_advance (removed, 11, 10);
-  put_created (late, "k", "a2", 14, 12);
+  jd_record_feed_t *known = new_guarded_feed (&known_counts);
+  put_record (late, "gone", "a1", 5);
+  put_record (late, "changed", "a1", 6);
+  jd_record_feed_each_after (late, -1, copy_item, known);
+  jd_record_feed_remove (known, "gone", 10);
+  put_record (known, "changed", "b2", 11);
+  jd_record_feed_advance (known, 11, 10);
+  put_listed (late, "gone", "a2", 14);
+  put_listed (late, "changed", "a3", 15);
   jd_record_feed_advance (late, 15, 20);
-  CU_ASSERT_EQUAL (late_counts.changes, 1);
-  CU_ASSERT_EQUAL (jd_record_feed_changed_revision (late), 14);
-  jd_record_feed_each_after (late, 11, copy_item, removed);
-  CU_ASSERT_EQUAL (removed_counts.changes, 2);
-  /* Heartbeats of a known record are no changes. */
-  put_created (late, "k", "a3", 16, 12);
-  CU_ASSERT_EQUAL (jd_record_feed_changed_revision (late), 14);
-  jd_record_feed_free (removed);
+  CU_ASSERT_EQUAL (late_counts.changes, 2);
+  CU_ASSERT_EQUAL (jd_record_feed_changed_revision (late), 15);
+  known_counts = (event_counts_t){ 0 };
+  jd_record_feed_each_after (late, 11, copy_item, known);
+  CU_ASSERT_EQUAL (known_counts.changes, 2);
+  /* The list may have been an older copy, so that the next write matters to other hosts;
+   * then heartbeats are no changes. */
+  put_record (late, "changed", "a4", 16);
+  CU_ASSERT_EQUAL (jd_record_feed_changed_revision (late), 16);
+  put_record (late, "changed", "a5", 17);
+  CU_ASSERT_EQUAL (jd_record_feed_changed_revision (late), 16);
+  jd_record_feed_free (known);
   jd_record_feed_free (late);
 }
 
@@ -581,8 +590,8 @@
     { "hosts learn what the older copy lacks", hosts_learn_what_the_older_copy_lacks },
     { "copied values belong to the later generation",
       copied_values_belong_to_the_later_generation },
-    { "record created again reaches hosts that removed it",
-      record_created_again_reaches_hosts_that_removed_it },
+    { "equal value after a gap reaches other hosts",
+      equal_value_after_a_gap_reaches_other_hosts },
     { "configuration that the older copy lacks is copied",
       configuration_that_the_older_copy_lacks_is_copied },
     { "earlier generation says nothing", earlier_generation_says_nothing },
