fix(membership): order configurations by their versions alone

A host could go back to an older configuration: the store returned from a copy without any, each host kept the one that it had, and the one that noticed this last had the latest position, whatever its version. Another host that copied from it took the older version; a withdrawn key worked again until the operator's next write.

Cause: a value that stays in force without its record moves to the position at which its host read that the record is missing, and positions were compared before versions. Between such values the writer's order now decides alone, in both directions, and a position never moves back.

--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -118,7 +118,8 @@
 is_known_better (const jd_record_feed_t *feed, const jd_feed_item_t *item, GBytes *listed,
                  int64_t revision)
 {
-  return item->value && feed->events.is_newer && revision == item->revision &&
+  return item->value && feed->events.is_newer &&
+         (revision == item->revision || is_kept (feed, item->key, item->value)) &&
          feed->events.is_newer (feed->events.context, item->key, item->value, listed);
 }
 
@@ -138,7 +139,8 @@
 {
   GBytes *known = item->value ? item->value : item->last_value;
   return known && feed->events.is_newer &&
-         is_later_generation (revision, item->revision) &&
+         (is_later_generation (revision, item->revision) ||
+          is_kept (feed, item->key, known)) &&
          !feed->events.is_newer (feed->events.context, item->key, known, listed);
 }
 
@@ -196,7 +198,7 @@
     feed->tombstone_count--;
   set_value (&item->value, value);
   set_value (&item->last_value, NULL);
-  item->revision = revision;
+  item->revision = MAX (item->revision, revision);
   feed->changed_revision = MAX (feed->changed_revision, revision);
   g_hash_table_remove (feed->held, key);
   if (!is_same)
--- a/test/unit/test_record_feed.c
+++ b/test/unit/test_record_feed.c
@@ -556,6 +556,28 @@
   jd_record_feed_free (late);
 }
 
+/* Guards against a configuration that goes back when a host copies from one that knows
+ * less but noticed later that the store has none any more. */
+static void
+configuration_never_goes_back_between_hosts (void)
+{
+  event_counts_t newer_counts = { 0 }, older_counts = { 0 };
+  jd_record_feed_t *newer = new_guarded_feed (&newer_counts);
+  jd_record_feed_t *older = new_guarded_feed (&older_counts);
+  put_record (newer, "configuration", "c3", jd_record_revision (1, 6));
+  put_record (older, "configuration", "b2", jd_record_revision (1, 3));
+  GHashTable *keys = g_hash_table_new (g_str_hash, g_str_equal);
+  jd_record_feed_retain (newer, keys, jd_record_revision (2, 2));
+  jd_record_feed_retain (older, keys, jd_record_revision (2, 3));
+  jd_record_feed_each_after (older, -1, copy_item, newer);
+  CU_ASSERT_EQUAL (newer_counts.changes, 1);
+  jd_record_feed_each_after (newer, -1, copy_item, older);
+  CU_ASSERT_EQUAL (older_counts.changes, 2);
+  g_hash_table_destroy (keys);
+  jd_record_feed_free (older);
+  jd_record_feed_free (newer);
+}
+
 /* Guards against hosts without a configuration because the store returned empty. */
 static void
 configuration_stays_without_a_record (void)
@@ -596,6 +618,8 @@
       configuration_that_the_older_copy_lacks_is_copied },
     { "earlier generation says nothing", earlier_generation_says_nothing },
     { "copy brings no removed record back", copy_brings_no_removed_record_back },
+    { "configuration never goes back between hosts",
+      configuration_never_goes_back_between_hosts },
     { "configuration stays without a record", configuration_stays_without_a_record },
   };
   return JD_TEST_RUN ("record_feed", cases);
