test(daemons): create the sources of three tests in one place

"waits for lost sources do not add up" built a source with its feed, peers and loop by hand, line by line as open_lone_source () does for the two tests that came later. It calls that now; running the first read moves out of it into run_first_read ().

--- a/test/process/test_record_source.c
+++ b/test/process/test_record_source.c
@@ -346,55 +346,6 @@
   jd_peer_table_update (peers, &state, jd_monotonic_us ());
 }
 
-/* Guards against hosts that act on an old configuration because the hosts from which they
- * copy are lost one after the other: the waits for each of them added up to more than the
- * limit, although the store could be read all the while (review/7). */
-static void
-waits_for_lost_sources_do_not_add_up (void)
-{
-  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
-  uint32_t own_ip = INADDR_LOOPBACK;
-  uint16_t port = 0;
-  int listeners[LOST_SOURCES];
-  for (uint32_t i = 0; i < LOST_SOURCES; i++)
-    listeners[i] = open_lost_host (own_ip + 1 + i, &port);
-  jd_feed_events_t events = { 0 };
-  jd_record_feed_t *feed = jd_record_feed_new (&events);
-  jd_peer_table_t *peers = jd_peer_table_new (own_ip, "zone-0");
-  int64_t start_us = jd_monotonic_us ();
-  jd_record_feed_advance (feed, 5, start_us);
-  receive_last_message (peers, own_ip + 1, 0);
-  jd_record_source_options_t options = {
-    .loop = loop,
-    .feed = feed,
-    .peers = peers,
-    .peer_port = port,
-    .is_first_start = true,
-    .change_limit_us = LOST_LIMIT_US,
-    .heartbeat_interval_us = JD_US_PER_S,
-    .read_store = note_store_read,
-    .on_changed = ignore_change,
-  };
-  store_read_us = 0;
-  jd_record_source_t *source = jd_record_source_new (&options);
-  for (uint32_t i = 1; i < LOST_SOURCES; i++)
-    {
-      jd_test_run_loop (loop, (double)LOST_INTERVAL_US / (double)JD_US_PER_S);
-      receive_last_message (peers, own_ip + 1 + i, i);
-      jd_record_source_on_peer_state (source);
-    }
-  while (store_read_us == 0 && jd_monotonic_us () < start_us + 4 * LOST_LIMIT_US)
-    jd_test_run_loop (loop, 0.02);
-  printf ("%.2f s ", (double)(store_read_us - start_us) / (double)JD_US_PER_S);
-  CU_ASSERT_TRUE (store_read_us > 0 && store_read_us - start_us < LOST_LIMIT_US);
-  jd_record_source_free (source);
-  jd_peer_table_free (peers);
-  jd_record_feed_free (feed);
-  for (uint32_t i = 0; i < LOST_SOURCES; i++)
-    close (listeners[i]);
-  ev_loop_destroy (loop);
-}
-
 typedef struct lone_source
 {
   struct ev_loop *loop;
@@ -403,7 +354,8 @@
   jd_record_source_t *source;
 } lone_source_t;
 
-/* Opens a source without a store or other hosts and ends its first read with success. */
+/* Opens a source without a store or other hosts. It takes its first step when the loop
+ * runs. */
 static void
 open_lone_source (lone_source_t *lone, uint32_t own_ip, uint16_t peer_port,
                   int64_t change_limit_us)
@@ -425,6 +377,13 @@
   };
   store_read_us = 0;
   lone->source = jd_record_source_new (&options);
+}
+
+/* Runs the loop until a source has started to read the store, and sets the records that
+ * this read brings. */
+static void
+run_first_read (lone_source_t *lone)
+{
   jd_test_run_loop (lone->loop, 0.1);
   CU_ASSERT_TRUE (store_read_us > 0);
   jd_record_feed_advance (lone->feed, 5, store_read_us);
@@ -439,6 +398,37 @@
   ev_loop_destroy (lone->loop);
 }
 
+/* Guards against hosts that act on an old configuration because the hosts from which they
+ * copy are lost one after the other: the waits for each of them added up to more than the
+ * limit, although the store could be read all the while (review/7). */
+static void
+waits_for_lost_sources_do_not_add_up (void)
+{
+  uint32_t own_ip = INADDR_LOOPBACK;
+  uint16_t port = 0;
+  int listeners[LOST_SOURCES];
+  for (uint32_t i = 0; i < LOST_SOURCES; i++)
+    listeners[i] = open_lost_host (own_ip + 1 + i, &port);
+  int64_t start_us = jd_monotonic_us ();
+  lone_source_t lone;
+  open_lone_source (&lone, own_ip, port, LOST_LIMIT_US);
+  jd_record_feed_advance (lone.feed, 5, start_us);
+  receive_last_message (lone.peers, own_ip + 1, 0);
+  for (uint32_t i = 1; i < LOST_SOURCES; i++)
+    {
+      jd_test_run_loop (lone.loop, (double)LOST_INTERVAL_US / (double)JD_US_PER_S);
+      receive_last_message (lone.peers, own_ip + 1 + i, i);
+      jd_record_source_on_peer_state (lone.source);
+    }
+  while (store_read_us == 0 && jd_monotonic_us () < start_us + 4 * LOST_LIMIT_US)
+    jd_test_run_loop (lone.loop, 0.02);
+  printf ("%.2f s ", (double)(store_read_us - start_us) / (double)JD_US_PER_S);
+  CU_ASSERT_TRUE (store_read_us > 0 && store_read_us - start_us < LOST_LIMIT_US);
+  close_lone_source (&lone);
+  for (uint32_t i = 0; i < LOST_SOURCES; i++)
+    close (listeners[i]);
+}
+
 /* Guards against a host that no longer reads the store, because a host with a lower
  * address does, and ignores its offers for three read intervals: it held removals without
  * copying what had returned meanwhile, and refused callers. */
@@ -450,6 +440,7 @@
   int listener = open_lost_host (own_ip - 1, &port);
   lone_source_t lone;
   open_lone_source (&lone, own_ip, port, LOST_LIMIT_US);
+  run_first_read (&lone);
   jd_record_source_on_store_read (lone.source, true, store_read_us);
   CU_ASSERT_TRUE (jd_record_source_reads_store (lone.source, jd_monotonic_us ()));
   receive_last_message (lone.peers, own_ip - 1, 0);
@@ -467,6 +458,7 @@
 {
   lone_source_t lone;
   open_lone_source (&lone, INADDR_LOOPBACK, 0, 6 * JD_US_PER_S);
+  run_first_read (&lone);
   jd_record_feed_hold_removals (lone.feed, jd_monotonic_us () + 5 * JD_US_PER_S);
   jd_record_source_on_store_read (lone.source, true, store_read_us);
   store_read_us = 0;
