test(review): case 12, a server that becomes cold again gets unlimited requests

A host that copies records takes the second cold time of a target for a heartbeat, because the value that it compares with is the one of the first cold time.

--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -453,12 +453,14 @@
 beat (server_t *server)
 {
   char key[64], value[512];
+  double cold_s = server->cold_until - now_s ();
   snprintf (key, sizeof (key), "servers/%s", server->id);
   snprintf (value, sizeof (value),
             "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
-            "\"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\"coldLeftMs\":0,"
+            "\"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\"coldLeftMs\":%d,"
             "\"seq\":%d,\"born\":1700000000000}",
-            server->service, server->port, server->zone, ++server->seq);
+            server->service, server->port, server->zone,
+            cold_s > 0 ? (int)(cold_s * 1000) : 0, ++server->seq);
   store_put (key, value);
 }
 
@@ -476,7 +478,7 @@
     }
 }
 
-void
+double
 servers_beat (server_t *servers, int count)
 {
   for (int i = 0; i < count; i++)
@@ -484,6 +486,7 @@
       if (servers[i].gone == 0)
         beat (&servers[i]);
     }
+  return now_s ();
 }
 
 /* --- Processes --- */
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -34,7 +34,8 @@
   int port;
   int work_ms;
   int seq;
-  double gone; /* When the store accepted the removal of its entry; 0: listed. */
+  double gone;       /* When the store accepted the removal of its entry; 0: listed. */
+  double cold_until; /* End of its cold time; 0: never cold. */
 } server_t;
 
 double now_s (void);
@@ -55,7 +56,8 @@
  * without an answer. */
 typedef void (*arrival_t) (server_t *server, const char *attempt_id, double at);
 void servers_start (server_t *servers, int count, arrival_t on_arrival);
-void servers_beat (server_t *servers, int count);
+/* Writes the entries of the listed servers; returns when the store has accepted them. */
+double servers_beat (server_t *servers, int count);
 
 void machine_start (machine_t *machine, const char *settings_path);
 void machine_signal (machine_t *machine, int signal_number);
