test(review): case 11, servers whose entries were odd for a moment are never used again

The valid entry after one without seq counts as a heartbeat of it, so that the target stays out of the registry.

--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -464,6 +464,19 @@
   store_put (key, value);
 }
 
+void
+write_odd_entry (const server_t *server)
+{
+  char key[64], value[512];
+  snprintf (key, sizeof (key), "servers/%s", server->id);
+  snprintf (value, sizeof (value),
+            "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
+            "\"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\"coldLeftMs\":0,"
+            "\"born\":1700000000000}",
+            server->service, server->port, server->zone);
+  store_put (key, value);
+}
+
 void
 servers_start (server_t *servers, int count, arrival_t on_arrival)
 {
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -59,6 +59,9 @@
 /* Writes the entries of the listed servers; returns when the store has accepted them. */
 double servers_beat (server_t *servers, int count);
 
+/* Writes the entry of a server as another writer might: the field `seq` is missing. */
+void write_odd_entry (const server_t *server);
+
 void machine_start (machine_t *machine, const char *settings_path);
 void machine_signal (machine_t *machine, int signal_number);
 void machines_end (machine_t *machines, int count);
