--- a/review/rig-3/odd.c
+++ b/review/rig-3/odd.c
@@ -78,7 +78,7 @@
   static const char *const names[ROUTES] = { "first", "second" };
   char text[4000], *end = text;
   end += sprintf (end, "{\"version\":%d,\"routes\":[", version);
-  for (int i = 0; i < routes; i++)
+  for (int i = 0; i < routes && i < ROUTES; i++)
     end +=
         sprintf (end,
                  "%s{\"name\":\"r-%s\",\"host\":\"shop.example\",\"prefix\":\"/%s/\","
