--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -107,7 +107,7 @@
 }
 
 /* Reads a message head, without a body, into text. Returns FALSE at the end of input. */
-static bool
+bool
 read_head (int fd, char *text, size_t size)
 {
   size_t length = 0;
@@ -123,7 +123,7 @@
   return false;
 }
 
-static bool
+bool
 send_all (int fd, const char *text, size_t size)
 {
   while (size > 0)
@@ -137,8 +137,24 @@
   return true;
 }
 
+/* Reads and discards a body. Returns FALSE at the end of input. */
+bool
+skip_body (int fd, long size)
+{
+  char bytes[16384];
+  while (size > 0)
+    {
+      size_t wanted = size < (long)sizeof (bytes) ? (size_t)size : sizeof (bytes);
+      ssize_t got = recv (fd, bytes, wanted, 0);
+      if (got <= 0)
+        return false;
+      size -= got;
+    }
+  return true;
+}
+
 /* Copies the value of a header field; an empty text without it. */
-static void
+void
 header (const char *head, const char *name, char *value, size_t size)
 {
   value[0] = '\0';
@@ -395,11 +411,14 @@
   free (argument);
   server_t *server = client.server;
   static _Atomic unsigned stamp_count;
-  char head[8192], id[128], expected[64], answer[512];
+  char head[8192], id[128], expected[64], size[24], answer[512];
   while (read_head (client.fd, head, sizeof (head)))
     {
       header (head, "X-Attempt-Id", id, sizeof (id));
       header (head, "X-Expect-Instance", expected, sizeof (expected));
+      header (head, "Content-Length", size, sizeof (size));
+      if (!skip_body (client.fd, strtol (size, NULL, 10)))
+        break;
       int length;
       if (expected[0] && strcmp (expected, server->id) != 0)
         length = snprintf (answer, sizeof (answer),
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -46,6 +46,14 @@
 /* Opens a listener on a free loopback port, and returns the port in *port. */
 int listen_on (const char *ip, int *port);
 
+/* Reads a message head, without a body, into text. Returns FALSE at the end of input. */
+bool read_head (int fd, char *text, size_t size);
+bool send_all (int fd, const char *text, size_t size);
+/* Reads and discards a body. Returns FALSE at the end of input. */
+bool skip_body (int fd, long size);
+/* Copies the value of a header field; an empty text without it. */
+void header (const char *head, const char *name, char *value, size_t size);
+
 /* The store. Values are the JSON text of an item. */
 void store_start (machine_t *machines, int count);
 void store_put (const char *key, const char *value);
