--- a/review/rig-3/drain.c
+++ b/review/rig-3/drain.c
@@ -16,11 +16,10 @@
 #define SHARD_SERVERS (2 * SHARDS)
 #define STUDIO_SERVERS 5
 #define SERVERS (SHARD_SERVERS + STUDIO_SERVERS)
-/* 6 of the 40 servers of the shards: the share 0.15 that a scale_in removes by default.
- */
-#define LEAVING 6
+/* 5 of the 40 servers of the shards, a share of 0.125; that of scale_in is 0.13. */
+#define LEAVING 5
 #define DRAIN_S 3.0
-#define FREEZE_S 5.0
+#define FREEZE_S 4.0
 #define CONSUMERS 6
 
 static machine_t machines[MACHINES];
@@ -202,7 +201,7 @@
   wait_s (FREEZE_S);
   if (has_trouble)
     machine_signal (&machines[reader], SIGCONT);
-  wait_s (1.0);
+  wait_s (2.0);
   stopped = 1;
   int late = 0, served = 0;
   for (int i = 0; i < MACHINES; i++)
