fix(membership): let a hold of removals share the drain limit with the wait before it

Cause: a host whose source is lost reads the store when its records are 68 to 75 percent of the limit old, and then held removals of many records for another 40 percent, plus up to 0.25 s until a timer ended the hold.

Ruled out: the wait for the frozen host alone, which ends at 75 percent; single removals were in time. Log of the other host, old code: unread_ms=2066, hold_ms=1200, applied 1.38 s later.

A removal may be as old as the records were when they were last current. The next step of the record source is due at the end of a hold.

--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -21,9 +21,6 @@
  * records expired write them again within about 2 s of its end; the rest covers the
  * next read of the store and the copy to the other hosts. */
 #define REMOVAL_HOLD_MIN_US (2900 * JD_US_PER_MS)
-/* Time for which removals are held without an outage, in percent of the time within which
- * a removed target must get no more requests. The rest is for reading and copying. */
-#define SHORT_HOLD_PERCENT 40
 /* Removals are held after an outage longer than this many heartbeat intervals. A record
  * expires after three missed heartbeats, and the first may have been due when the outage
  * began. */
@@ -98,7 +95,7 @@
     .max_share = limits->max_removed_share,
     .unread_max_us = OUTAGE_MIN_HEARTBEATS * source->options.heartbeat_interval_us,
     .hold_us = removal_hold_us (source),
-    .short_hold_us = limits->drain_limit_us / 100 * SHORT_HOLD_PERCENT,
+    .drain_limit_us = limits->drain_limit_us,
   };
   jd_record_feed_set_doubt (source->options.feed, &doubt);
 }
@@ -154,7 +151,7 @@
     .is_reading = source->is_store_read_running,
     .is_copying = jd_http_client_is_busy (source->client),
     .needs_full_copy = source->needs_full_copy,
-    .holds_removals = jd_record_feed_removals_held_until_us (feed) > now_us,
+    .held_until_us = jd_record_feed_removals_held_until_us (feed),
   };
 }
 
@@ -333,6 +330,9 @@
                 reply->body->len,
                 (jd_monotonic_us () - source->copy_requested_us) / JD_US_PER_MS);
   notify_changes (source, previous_revision);
+  /* The step before did not know of removals that are held now. */
+  if (jd_record_feed_removals_held_until_us (source->options.feed) > jd_monotonic_us ())
+    take_step (source);
 }
 
 /* Starts a copy of the changes that a peer has and this host lacks, or of all records if
@@ -391,6 +391,7 @@
 take_step (jd_record_source_t *source)
 {
   int64_t now_us = jd_monotonic_us ();
+  jd_record_feed_release_removals (source->options.feed, now_us);
   jd_record_view_t view = view_records (source, now_us);
   jd_record_plan_t plan =
       jd_record_plan_choose (&source->budget, source->options.peers, &view, now_us);
--- a/src/membership/record_feed.c
+++ b/src/membership/record_feed.c
@@ -361,20 +361,20 @@
   jd_removal_batch_t batch = {
     .removed = feed->recent_removals,
     .records = count_records (feed) + feed->recent_removals,
-    .unread_us = feed->as_of_us > 0 ? now_us - feed->as_of_us : 0,
+    .as_of_us = feed->as_of_us,
   };
-  int64_t hold_us = jd_removal_doubt_hold_us (&feed->doubt, &batch);
-  if (hold_us == 0)
+  int64_t until_us = jd_removal_doubt_hold_until_us (&feed->doubt, &batch, now_us);
+  if (until_us == 0)
     {
       apply_held_removals (feed, true);
       return;
     }
-  feed->hold_until_us = now_us + hold_us;
+  feed->hold_until_us = until_us;
   jd_log_event (G_LOG_LEVEL_WARNING, "removals_doubted",
                 "removed=%u records=%u unread_ms=%" G_GINT64_FORMAT
                 " hold_ms=%" G_GINT64_FORMAT,
-                batch.removed, batch.records, batch.unread_us / JD_US_PER_MS,
-                hold_us / JD_US_PER_MS);
+                batch.removed, batch.records, (now_us - batch.as_of_us) / JD_US_PER_MS,
+                (until_us - now_us) / JD_US_PER_MS);
 }
 
 /* Keeps removed records in effect until a time, because records that expired during an
--- a/src/membership/record_plan.c
+++ b/src/membership/record_plan.c
@@ -149,8 +149,11 @@
                  const jd_record_plan_t *plan, int64_t own_read_us, int64_t now_us)
 {
   int64_t next_us = now_us + budget->read_interval_us;
-  if (view->store_failed || view->holds_removals)
+  bool holds_removals = view->held_until_us > now_us;
+  if (view->store_failed || holds_removals)
     next_us = MIN (next_us, now_us + RECOVERY_INTERVAL_US);
+  if (holds_removals)
+    next_us = MIN (next_us, view->held_until_us);
   if (!plan->is_own_read_due)
     next_us = MIN (next_us, own_read_us);
   bool waits_for_read = plan->is_reader || plan->is_own_read_due;
--- a/src/membership/record_plan.h
+++ b/src/membership/record_plan.h
@@ -28,7 +28,7 @@
   bool is_reading;       /* A read of the store is running. */
   bool is_copying;       /* A copy from another host is running. */
   bool needs_full_copy;  /* It copies all records once, although it reads the store. */
-  bool holds_removals;   /* Removals wait until the store can be trusted again. */
+  int64_t held_until_us; /* Removals are held until this time; 0: none are. */
 } jd_record_view_t;
 
 /* What a host does now to keep its records current. */
--- a/test/process/test_record_source.c
+++ b/test/process/test_record_source.c
@@ -294,6 +294,63 @@
   jd_host_fixture_close (&fixture);
 }
 
+#define FROZEN_SHARDS 16U
+/* One target of each of some shards: more than max-removed-percent of all targets. */
+#define FROZEN_REMOVED 5U
+/* Default of drain-ms. */
+#define DRAIN_LIMIT_US (3 * JD_US_PER_S)
+
+/* Observer of a target: notes the time of the last request. */
+static void
+note_arrival (void *context, jd_shard_target_t *target, const jd_shard_arrival_t *arrival)
+{
+  *(int64_t *)context = jd_monotonic_us ();
+}
+
+/* Guards against requests to targets that left, while the host that reads the store for
+ * its zone is frozen: the wait for it and the hold of many removals added up to more than
+ * the drain limit (review/12). */
+static void
+removals_apply_in_time_beside_a_frozen_reader (void)
+{
+  static jd_host_fixture_t fixture = { .has_one_zone = true };
+  jd_host_fixture_open (&fixture, 2, FROZEN_SHARDS);
+  for (uint32_t i = 0; i < fixture.host_count; i++)
+    CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, i, 5.0));
+  CU_ASSERT_EQUAL (count_failed_searches (&fixture, 1.5), 0);
+  uint32_t call_count = jd_published_store_call_count (fixture.store);
+  while (jd_published_store_call_count (fixture.store) == call_count)
+    jd_host_fixture_run (&fixture, 0.002);
+  jd_host_fixture_run (&fixture, 0.1);
+  kill (fixture.hosts[READER].pid, SIGSTOP);
+  int64_t removed_us = jd_monotonic_us ();
+  int64_t last_arrival_us = 0;
+  for (uint32_t i = 0; i < FROZEN_REMOVED; i++)
+    {
+      jd_shard_target_set_observer (fixture.targets[2 * i].target, note_arrival,
+                                    &last_arrival_us);
+      jd_host_fixture_publish_target (&fixture, 2 * i, NULL);
+    }
+  while (jd_monotonic_us () < removed_us + 2 * DRAIN_LIMIT_US)
+    {
+      char *text =
+          g_strdup_printf ("GET /search/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                           "X-Attempt-Id: f-%" G_GINT64_FORMAT
+                           "\r\nX-Deadline-Ms: 1500\r\n" JD_HOST_FIXTURE_KEY "\r\n",
+                           jd_monotonic_us ());
+      jd_host_fixture_reply_t *reply = jd_host_fixture_call (&fixture, COPIER, text);
+      CU_ASSERT_EQUAL (reply->status, 200);
+      jd_host_fixture_reply_free (reply);
+      g_free (text);
+      jd_host_fixture_run (&fixture, 0.01);
+    }
+  kill (fixture.hosts[READER].pid, SIGCONT);
+  printf ("%.2f s ", (double)(last_arrival_us - removed_us) / (double)JD_US_PER_S);
+  CU_ASSERT_TRUE (last_arrival_us > removed_us);
+  CU_ASSERT_TRUE (last_arrival_us - removed_us < DRAIN_LIMIT_US);
+  jd_host_fixture_close (&fixture);
+}
+
 #define LOST_SOURCES 3U
 #define LOST_INTERVAL_US (400 * JD_US_PER_MS)
 #define LOST_LIMIT_US (2 * JD_US_PER_S)
@@ -487,6 +544,8 @@
     { "older copy of the store takes nothing back",
       older_copy_of_the_store_takes_nothing_back },
     { "empty store takes nothing away", empty_store_takes_nothing_away },
+    { "removals apply in time beside a frozen reader",
+      removals_apply_in_time_beside_a_frozen_reader },
   };
   return JD_TEST_RUN ("record_source", cases);
 }
--- a/test/unit/test_record_feed.c
+++ b/test/unit/test_record_feed.c
@@ -301,7 +301,7 @@
                               .context = counts };
   jd_record_feed_t *feed = jd_record_feed_new (&events);
   jd_removal_doubt_t doubt = {
-    .max_share = 0.1, .unread_max_us = 2400, .hold_us = 5000, .short_hold_us = 2000
+    .max_share = 0.1, .drain_limit_us = 5000, .unread_max_us = 2400, .hold_us = 5000
   };
   jd_record_feed_set_doubt (feed, &doubt);
   return feed;
