fix(membership): judge outages of the store from all known hosts, copy no holds

Cause: a machine whose reads have failed holds all removals for 2.9 s, because it may have missed an outage in which records expired. A copy carried the rest of that time, and each host that copied took it over. Two related paths had it too: the age of a host's own records alone counted as an outage, which is also what lost sources look like when the drain limit is 5 s; and a read that hung on an old connection counted.

Ruled out: the hold of many removals without an outage; it ends in time.

store_contact decides whether the store was away: no known host has read it for two heartbeats, and the reads of two hosts (one in a fleet of one zone) have failed twice in a row. State messages tell of failed reads, in a bit that earlier versions reject; copies carry no hold (format 3, so that hosts of both versions read the store themselves during an update). A connection to the store or a host is not reused after 3 s.

--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -188,6 +188,7 @@
   g_strlcpy (state->zone, host->zone, sizeof (state->zone));
   state->leaving = host->stopping;
   state->reads_store = jd_record_source_reads_store (host->record_source, now_us);
+  state->store_failed = jd_record_source_store_failed (host->record_source, now_us);
   state->feed_revision = jd_record_feed_revision (host->feed);
   state->changed_revision = jd_record_feed_changed_revision (host->feed);
   state->tombstones_since = jd_record_feed_tombstones_since (host->feed);
--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -8,10 +8,11 @@
 #include "base/clock.h"
 #include "base/log_event.h"
 #include "membership/record_plan.h"
+#include "membership/store_contact.h"
 #include "transport/http_call.h"
 #include "transport/wire_reader.h"
 
-#define FORMAT_VERSION 2
+#define FORMAT_VERSION 3
 #define COPY_BYTES_MAX ((size_t)32 * 1024 * 1024)
 #define RECORDS_MAX (1U << 20)
 /* A host whose last successful read of the store is older than this many read intervals
@@ -25,6 +26,11 @@
  * expires after three missed heartbeats, and the first may have been due when the outage
  * began. */
 #define OUTAGE_MIN_HEARTBEATS 2
+/* Reads that fail one after the other until the store counts as unreadable. A single one
+ * may have hung on a connection that was lost. */
+#define FAILURES_MIN 2U
+/* Time for which other hosts are told of a failed read. */
+#define FAILURE_AGE_MAX_US (JD_US_PER_S)
 /* Time that a starting host waits for gossip of other hosts before it reads the store. */
 #define FIRST_READ_DELAY_S 0.05
 
@@ -43,6 +49,12 @@
   int64_t last_read_us;    /* Request time of the last successful read of the store. */
   int64_t read_again_us;   /* Earliest time of the next read of the store. */
   int64_t read_started_us; /* Start of the running or last read of the store. */
+  /* End and start of the last read of the store that failed after another one, so that
+   * the cause is not a kept connection; 0: none. */
+  int64_t read_failed_us;
+  int64_t failed_read_started_us;
+  uint32_t failure_count; /* Reads of the store that failed one after the other. */
+  jd_store_contact_t contact;
   int64_t copy_requested_us;
   uint32_t copy_peer_ip; /* Host that the running or last copy comes from. */
   jd_name_t copy_peer_name;
@@ -75,6 +87,30 @@
               source->options.store_stable_us - source->budget.read_interval_us);
 }
 
+/* Returns what this host has seen of the store itself. */
+static jd_own_contact_t
+own_contact (const jd_record_source_t *source)
+{
+  return (jd_own_contact_t){
+    .as_of_us = jd_record_feed_as_of_us (source->options.feed),
+    .failed_us = source->read_failed_us,
+    .failed_start_us = source->failed_read_started_us,
+  };
+}
+
+/* Updates what is known of outages of the store, and holds removals if records may have
+ * expired in one. Each host decides this for itself: one that was cut off cannot tell
+ * hosts that were not to hold removals. */
+static void
+hold_after_outage (jd_record_source_t *source, int64_t now_us)
+{
+  const jd_own_contact_t own = own_contact (source);
+  jd_store_contact_note (&source->contact, source->options.peers, &own, now_us);
+  jd_record_feed_hold_removals (
+      source->options.feed,
+      jd_store_contact_hold_until_us (&source->contact, &own, now_us));
+}
+
 /* Handles the return of the store from an older copy of its records, which lacks changes
  * that it had already published. Their writers need some time to publish them again. */
 void
@@ -91,10 +127,10 @@
                                const jd_record_source_limits_t *limits)
 {
   source->options.store_stable_us = limits->store_stable_us;
+  source->contact.stable_us = limits->store_stable_us;
+  source->contact.hold_us = removal_hold_us (source);
   jd_removal_doubt_t doubt = {
     .max_share = limits->max_removed_share,
-    .unread_max_us = OUTAGE_MIN_HEARTBEATS * source->options.heartbeat_interval_us,
-    .hold_us = removal_hold_us (source),
     .drain_limit_us = limits->drain_limit_us,
   };
   jd_record_feed_set_doubt (source->options.feed, &doubt);
@@ -108,6 +144,15 @@
          now_us - source->last_read_us < read_age_max_us (source);
 }
 
+/* Returns TRUE if this host has tried in vain to read the store a moment ago, and has got
+ * no newer records since. */
+bool
+jd_record_source_store_failed (const jd_record_source_t *source, int64_t now_us)
+{
+  return source->read_failed_us > jd_record_feed_as_of_us (source->options.feed) &&
+         now_us - source->read_failed_us < FAILURE_AGE_MAX_US;
+}
+
 /* Returns TRUE if the records are recent enough to decide by what they lack. */
 bool
 jd_record_source_is_current (const jd_record_source_t *source, int64_t now_us)
@@ -155,6 +200,19 @@
   };
 }
 
+/* Notes a read of the store that failed. Tells the other hosts at once, because they take
+ * part in the decision whether the store is away. */
+static void
+note_failure (jd_record_source_t *source, int64_t now_us)
+{
+  if (++source->failure_count < FAILURES_MIN)
+    return;
+  source->read_failed_us = now_us;
+  source->failed_read_started_us = source->read_started_us;
+  if (source->failure_count == FAILURES_MIN)
+    source->options.on_changed (source->options.context);
+}
+
 /* Handles the end of a store read. `requested_us` is the time at which the read started;
  * the records are at least that recent. After a failure, and while removals are held, the
  * next step is planned anew. */
@@ -171,6 +229,7 @@
             G_LOG_LEVEL_WARNING, "store_lost", "last_read_ms=%" G_GINT64_FORMAT,
             source->last_read_us ? (now_us - source->last_read_us) / JD_US_PER_MS : -1);
       source->store_failed = true;
+      note_failure (source, now_us);
       jd_record_view_t view = view_records (source, now_us);
       source->read_again_us = jd_record_plan_read_again_us (
           &source->budget, &view, source->read_started_us, now_us);
@@ -183,6 +242,7 @@
                   REVISION_ARGS (jd_record_feed_revision (source->options.feed)),
                   (now_us - source->last_read_us) / JD_US_PER_MS);
   source->store_failed = false;
+  source->failure_count = 0;
   source->read_again_us = 0;
   source->last_read_us = requested_us;
   source->options.on_changed (source->options.context);
@@ -240,6 +300,16 @@
   return g_bytes_new_take (data, size);
 }
 
+/* Returns TRUE if a revision shows that the store has returned from an older copy of the
+ * records that this host has. */
+static bool
+is_of_new_generation (const jd_record_source_t *source, int64_t revision)
+{
+  int64_t own_revision = jd_record_feed_revision (source->options.feed);
+  return own_revision > 0 && jd_record_revision_generation (revision) >
+                                 jd_record_revision_generation (own_revision);
+}
+
 /* Applies a copy from another host to the feed. Returns FALSE and logs the cause if it is
  * unreadable; records in front of the error stay applied. */
 static bool
@@ -260,13 +330,11 @@
     jd_wire_reader_fail (&reader, "unsupported format version");
   int64_t revision = jd_wire_read_signed (&reader);
   int64_t age_us = jd_wire_read_signed (&reader);
-  int64_t hold_us = jd_wire_read_signed (&reader);
   bool is_full = jd_wire_read_boolean (&reader);
   uint32_t count = jd_wire_read_array (&reader, RECORDS_MAX);
-  if (!reader.failure && hold_us > 0)
-    jd_record_feed_hold_removals (source->options.feed,
-                                  jd_monotonic_us () +
-                                      MIN (hold_us, removal_hold_us (source)));
+  hold_after_outage (source, jd_monotonic_us ());
+  if (!reader.failure && is_of_new_generation (source, revision))
+    jd_record_source_on_new_generation (source);
   jd_record_feed_begin_batch (source->options.feed);
   GHashTable *keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (uint32_t i = 0; i < count && !reader.failure; i++)
@@ -368,18 +436,11 @@
                       on_copy_done, source);
 }
 
-/* Starts a read of the store. Holds removals if the outage was long enough for records to
- * have expired. */
+/* Starts a read of the store. */
 static void
 read_store (jd_record_source_t *source, int64_t call_limit_us, int64_t now_us)
 {
-  int64_t as_of_us = jd_record_feed_as_of_us (source->options.feed);
-  bool is_long_outage =
-      as_of_us > 0 && source->store_failed &&
-      now_us - as_of_us > OUTAGE_MIN_HEARTBEATS * source->options.heartbeat_interval_us;
-  if (is_long_outage)
-    jd_record_feed_hold_removals (source->options.feed,
-                                  now_us + removal_hold_us (source));
+  hold_after_outage (source, now_us);
   source->is_store_read_running = true;
   source->read_started_us = now_us;
   source->options.read_store (source->options.store_context, call_limit_us);
@@ -422,6 +483,7 @@
 jd_record_source_on_peer_state (jd_record_source_t *source)
 {
   int64_t now_us = jd_monotonic_us ();
+  hold_after_outage (source, now_us);
   jd_record_view_t view = view_records (source, now_us);
   const jd_peer_t *peer =
       jd_record_plan_offer (&source->budget, source->options.peers, &view, now_us);
@@ -438,6 +500,7 @@
   source->budget = jd_record_budget_new (options->change_limit_us);
   source->started_us = jd_monotonic_us ();
   source->needs_full_copy = !options->is_first_start;
+  source->contact.max_gap_us = OUTAGE_MIN_HEARTBEATS * options->heartbeat_interval_us;
   source->client = jd_http_client_new (options->loop, COPY_BYTES_MAX);
   ev_timer_init (&source->timer, on_timer, FIRST_READ_DELAY_S,
                  (double)source->budget.read_interval_us / (double)JD_US_PER_S);
@@ -510,8 +573,6 @@
   msgpack_pack_uint8 (&packer, FORMAT_VERSION);
   msgpack_pack_int64 (&packer, jd_record_feed_revision (feed));
   msgpack_pack_int64 (&packer, now_us - jd_record_feed_as_of_us (feed));
-  msgpack_pack_int64 (&packer,
-                      MAX (jd_record_feed_removals_held_until_us (feed) - now_us, 0));
   if (is_full)
     msgpack_pack_true (&packer);
   else
--- a/src/daemons/record_source.h
+++ b/src/daemons/record_source.h
@@ -50,5 +50,6 @@
 void jd_record_source_on_peer_state (jd_record_source_t *source);
 bool jd_record_source_is_current (const jd_record_source_t *source, int64_t now_us);
 bool jd_record_source_reads_store (const jd_record_source_t *source, int64_t now_us);
+bool jd_record_source_store_failed (const jd_record_source_t *source, int64_t now_us);
 GString *jd_record_source_render (const jd_record_feed_t *feed, int64_t after,
                                   int64_t now_us);
--- a/src/membership/peer_table.c
+++ b/src/membership/peer_table.c
@@ -36,10 +36,11 @@
 {
   uint32_t own_ip;
   char *own_zone;
-  GHashTable *by_ip;      /* ip -> jd_peer_t */
-  int64_t live_us;        /* A host is live for this long after its last message. */
-  int64_t share_hold_us;  /* It counts when limits are divided for this long. */
-  uint32_t unheard_count; /* Hosts that are no seeds and have sent no message. */
+  GHashTable *by_ip;       /* ip -> jd_peer_t */
+  int64_t live_us;         /* A host is live for this long after its last message. */
+  int64_t share_hold_us;   /* It counts when limits are divided for this long. */
+  uint32_t unheard_count;  /* Hosts that are no seeds and have sent no message. */
+  int64_t newest_as_of_us; /* Latest time at which the records of a host were current. */
 };
 
 /* Creates an empty table for a host; own_ip is in host byte order. */
@@ -150,8 +151,15 @@
                   " silent_ms=%" G_GINT64_FORMAT,
                   state->name, state->zone, state->leaving, state->incarnation,
                   has_state ? (now_us - peer->last_message_us) / JD_US_PER_MS : 0);
+  /* A host that was cut off itself tells of failed reads when it is back. */
+  bool is_back = !has_state || state->incarnation != peer->state.incarnation ||
+                 now_us - peer->last_message_us > table->live_us / 2;
   peer->state = *state;
   peer->last_message_us = now_us;
+  if (state->store_failed && !is_back)
+    peer->store_failed_us = now_us;
+  table->newest_as_of_us =
+      MAX (table->newest_as_of_us, now_us - MAX (state->feed_age_us, 0));
   return true;
 }
 
@@ -389,6 +397,45 @@
   return true;
 }
 
+/* Returns the number of other hosts that have told of a failed read of the store since a
+ * time. */
+uint32_t
+jd_peer_table_count_store_failures (const jd_peer_table_t *table, int64_t since_us)
+{
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, table->by_ip);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    count += ((const jd_peer_t *)value)->store_failed_us > since_us;
+  return count;
+}
+
+/* Returns the latest time at which the records of another host were current, by its
+ * messages; 0 without one. */
+int64_t
+jd_peer_table_newest_as_of_us (const jd_peer_table_t *table)
+{
+  return table->newest_as_of_us;
+}
+
+/* Returns TRUE if a live host is in another zone. */
+bool
+jd_peer_table_has_other_zone (const jd_peer_table_t *table, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, table->by_ip);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const jd_peer_t *peer = value;
+      if (is_live (table, peer, now_us) &&
+          strcmp (peer->state.zone, table->own_zone) != 0)
+        return true;
+    }
+  return false;
+}
+
 /* Records that a copy from a host failed. The host may be lost, so it is no source until
  * its next message. */
 void
--- a/src/membership/peer_table.h
+++ b/src/membership/peer_table.h
@@ -16,6 +16,7 @@
   jd_name_t zone;
   bool leaving;          /* The host is shutting down. */
   bool reads_store;      /* The host reads the platform's store itself, successfully. */
+  bool store_failed;     /* It cannot read the store and got no newer records since. */
   int64_t feed_revision; /* Revision up to which its published records are complete. */
   int64_t changed_revision; /* Revision of the last change that matters to hosts. */
   int64_t tombstones_since; /* Revision after which it has tombstones of all removals. */
@@ -29,8 +30,10 @@
       last_message_us;  /* Time of the last message; 0 while only the address is known. */
   int64_t last_send_us; /* Time of the last message to the host; 0 for none. */
   int64_t added_us;
-  int64_t copy_failed_us; /* Time at which a copy from the host last failed; 0: never. */
-  bool is_seed;           /* An address of the settings, which stays. */
+  int64_t copy_failed_us;  /* Time at which a copy from the host last failed; 0: never. */
+  int64_t store_failed_us; /* Time of its last message that told of a failed read of the
+                              store, while it was heard without a gap; 0: none. */
+  bool is_seed;            /* An address of the settings, which stays. */
 } jd_peer_t;
 
 /* What a host copies records for. */
@@ -69,6 +72,10 @@
                                   int64_t now_us);
 bool jd_peer_table_should_read (const jd_peer_table_t *table, bool reads_store_now,
                                 int64_t max_age_us, int64_t now_us);
+uint32_t jd_peer_table_count_store_failures (const jd_peer_table_t *table,
+                                             int64_t since_us);
+int64_t jd_peer_table_newest_as_of_us (const jd_peer_table_t *table);
+bool jd_peer_table_has_other_zone (const jd_peer_table_t *table, int64_t now_us);
 void jd_peer_table_copy_failed (jd_peer_table_t *table, uint32_t ip, int64_t now_us);
 bool jd_peer_is_established (const jd_peer_t *peer);
 const jd_peer_t *jd_peer_table_best_source (const jd_peer_table_t *table,
--- a/src/membership/removal_doubt.c
+++ b/src/membership/removal_doubt.c
@@ -25,8 +25,6 @@
       (double)batch->removed <= doubt->max_share * (double)batch->records)
     return 0;
   int64_t removed_us = batch->as_of_us > 0 ? batch->as_of_us : now_us;
-  if (now_us - removed_us > doubt->unread_max_us)
-    return now_us + doubt->hold_us;
   int64_t effect_us = removed_us + doubt->drain_limit_us / 100 * EFFECT_PERCENT;
   int64_t until_us = MIN (now_us + doubt->drain_limit_us / 100 * HOLD_PERCENT, effect_us);
   if (until_us <= now_us)
--- a/src/membership/removal_doubt.h
+++ b/src/membership/removal_doubt.h
@@ -12,9 +12,6 @@
   double
       max_share; /* Share of the records whose removal at a time is believed, 0 to 1. */
   int64_t drain_limit_us; /* Time within which a removal must take effect. */
-  int64_t unread_max_us;  /* Records that were read this long ago may have expired during
-                             an outage. */
-  int64_t hold_us; /* Time for which removals are held if the store may have been away. */
 } jd_removal_doubt_t;
 
 /* Removals that a host learns of at about the same time. */
--- a/src/transport/http_call.c
+++ b/src/transport/http_call.c
@@ -11,6 +11,10 @@
 
 #define READ_BYTES (64 * 1024)
 #define HEAD_LIMIT_BYTES (16 * 1024)
+/* A connection that has been idle for longer is not reused: it may have lost its path
+ * without a reset, and the call would wait until its time limit. Regular reads of the
+ * store are at most 2 s apart. */
+#define IDLE_REUSE_MAX_US (3 * JD_US_PER_S)
 
 struct jd_http_client
 {
@@ -21,7 +25,8 @@
   ev_timer timeout;
   int fd; /* -1 if there is no connection. */
   bool connected;
-  bool reused; /* The connection has completed an earlier call. */
+  bool reused;            /* The connection has completed an earlier call. */
+  int64_t last_answer_us; /* End of that call. */
   bool busy;
   char *target;
   GString *output;
@@ -125,6 +130,7 @@
   if (!keep_open)
     disconnect (client);
   client->reused = keep_open;
+  client->last_answer_us = jd_monotonic_us ();
   client->done (client->context, outcome,
                 outcome == JD_HTTP_CALL_ANSWERED ? &client->reader : NULL);
 }
@@ -256,6 +262,8 @@
   client->output_sent = 0;
   ev_timer_set (&client->timeout, (double)timeout_us / (double)JD_US_PER_S, 0.0);
   ev_timer_start (client->loop, &client->timeout);
+  if (jd_monotonic_us () - client->last_answer_us > IDLE_REUSE_MAX_US)
+    disconnect (client);
   if (client->fd >= 0)
     {
       flush_output (client);
--- a/src/transport/peer_gossip.c
+++ b/src/transport/peer_gossip.c
@@ -22,6 +22,9 @@
  * field: to a relay, which forwards it to the hosts of its zone, and from a relay. */
 #define MESSAGE_RELAY 6
 #define MESSAGE_FORWARDED 7
+/* What a state message says of the store: the host reads it, its last read failed. */
+#define STORE_READS 1U
+#define STORE_FAILED 2U
 #define HOSTS_MAX 4096
 /* Addresses of live hosts in one state message; successive messages list different ones.
  * A host lists them in each message of its first FULL_RATE_PERIOD_US and later in one of
@@ -92,7 +95,8 @@
   msgpack_pack_str_with_body (packer, state->name, strlen (state->name));
   msgpack_pack_str_with_body (packer, state->zone, strlen (state->zone));
   msgpack_pack_uint8 (packer, state->leaving);
-  msgpack_pack_uint8 (packer, state->reads_store);
+  msgpack_pack_uint8 (packer, (state->reads_store ? STORE_READS : 0) |
+                                  (state->store_failed ? STORE_FAILED : 0));
   msgpack_pack_int64 (packer, state->feed_revision);
   msgpack_pack_int64 (packer, state->changed_revision);
   msgpack_pack_int64 (packer, state->tombstones_since);
@@ -325,7 +329,9 @@
   jd_wire_read_name (reader, state->name);
   jd_wire_read_name (reader, state->zone);
   state->leaving = jd_wire_read_unsigned (reader, 1) != 0;
-  state->reads_store = jd_wire_read_unsigned (reader, 1) != 0;
+  uint64_t store_flags = jd_wire_read_unsigned (reader, STORE_READS | STORE_FAILED);
+  state->reads_store = (store_flags & STORE_READS) != 0;
+  state->store_failed = (store_flags & STORE_FAILED) != 0;
   state->feed_revision = jd_wire_read_signed (reader);
   state->changed_revision = jd_wire_read_signed (reader);
   state->tombstones_since = jd_wire_read_signed (reader);
--- a/test/unit/test_peer_gossip.c
+++ b/test/unit/test_peer_gossip.c
@@ -24,6 +24,7 @@
   uint32_t ip;
   uint64_t incarnation;
   uint32_t fill_count; /* Calls of fill_state: one per state or admissions message. */
+  bool store_failed;
   jd_peer_table_t *peers;
   jd_fleet_quota_t *quota;
   jd_replica_registry_t *registry;
@@ -37,6 +38,7 @@
   node->fill_count++;
   state->ip = node->ip;
   state->incarnation = node->incarnation;
+  state->store_failed = node->store_failed;
   g_strlcpy (state->name, "node", sizeof (state->name));
   g_strlcpy (state->zone, "a", sizeof (state->zone));
 }
@@ -340,6 +342,27 @@
   ev_loop_destroy (loop);
 }
 
+/* Guards against an outage of the store that hosts which copy never notice: the hosts
+ * that read it tell the others that they cannot. */
+static void
+failed_reads_reach_other_hosts (void)
+{
+  struct ev_loop *loop = ev_loop_new (0);
+  uint16_t port = jd_test_free_port ();
+  jd_gossip_node_t nodes[NODE_COUNT];
+  for (uint32_t i = 0; i < NODE_COUNT; i++)
+    open_node (&nodes[i], loop, i, port, 0);
+  run_for (loop, 0.6);
+  CU_ASSERT_EQUAL (jd_peer_table_count_store_failures (nodes[1].peers, 0), 0);
+  nodes[0].store_failed = true;
+  run_for (loop, 0.6);
+  CU_ASSERT_EQUAL (jd_peer_table_count_store_failures (nodes[1].peers, 0), 1);
+  CU_ASSERT_EQUAL (jd_peer_table_count_store_failures (nodes[0].peers, 0), 0);
+  for (uint32_t i = 0; i < NODE_COUNT; i++)
+    close_node (&nodes[i]);
+  ev_loop_destroy (loop);
+}
+
 int
 main (void)
 {
@@ -347,6 +370,7 @@
     { "large fleet receives admissions before the next state message",
       large_fleet_receives_admissions_early },
     { "relays forward messages to their zone", relays_forward_messages_to_their_zone },
+    { "failed reads reach other hosts", failed_reads_reach_other_hosts },
     { "hosts exchange messages after corrupt datagrams",
       messages_arrive_after_corrupt_datagrams },
   };
