--- a/test/process/test_record_source.c
+++ b/test/process/test_record_source.c
@@ -328,7 +328,7 @@
   int64_t last_arrival_us = 0;
   for (uint32_t i = 0; i < FROZEN_REMOVED; i++)
     {
-      jd_shard_target_set_observer (fixture.targets[2 * i].target, note_arrival,
+      jd_shard_target_set_observer (fixture.targets[(size_t)2 * i].target, note_arrival,
                                     &last_arrival_us);
       jd_host_fixture_publish_target (&fixture, 2 * i, NULL);
     }
--- a/test/random/test_record_age.c
+++ b/test/random/test_record_age.c
@@ -561,7 +561,7 @@
     }
   printf ("%" G_GINT64_FORMAT "%% of the limit, %" G_GINT64_FORMAT "%% for removals ",
           worst_percent, latest_percent);
-  CU_ASSERT_TRUE (removal_count > SEEDS * LEAVING_MIN);
+  CU_ASSERT_TRUE (removal_count > (uint64_t)SEEDS * LEAVING_MIN);
 }
 
 /* Guards against the loss of live targets whose records expire in an outage of the store,
