fix(platform): read a target's record in one way when it is compared

Cause: records were compared without seq and coldLeftMs, whatever those held, and the code that applies a record refuses it by these fields. The valid record after a refused one was a heartbeat, so that neither the reader of the store nor the hosts that copy from it used it. One value was read as "the same" here and as "refused" there. The other way round a refused coldLeftMs left its target in use.

Ruled out: the value of seq, which is not looked at; a missing born.

A record is now a heartbeat only if it and the one before are decoded alike and the registered replica is the one that it describes, so that a host that differs for any reason recovers with the next record.

--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -283,6 +283,18 @@
     registry->events.on_added (registry->events.context, replica);
 }
 
+/* Returns TRUE if this host has the replica that a published entry describes. Its cold
+ * start is left out. */
+bool
+jd_replica_registry_matches (const jd_replica_registry_t *registry,
+                             const jd_replica_spec_t *spec)
+{
+  const jd_replica_t *replica = g_hash_table_lookup (registry->by_id, spec->id);
+  return replica && !is_other_process (replica, spec) &&
+         replica->draining == spec->draining &&
+         (spec->slots == 0 || replica->slots == spec->slots);
+}
+
 /* Removes the replica of an id that is no longer published, if it is registered. */
 void
 jd_replica_registry_remove (jd_replica_registry_t *registry, const char *id,
--- a/test/unit/test_published_records.c
+++ b/test/unit/test_published_records.c
@@ -258,7 +258,7 @@
       jd_platform_apply_target (registry, "servers/odd", text, sizeof (text) - 1);
       GBytes *before = g_bytes_new_static (TARGET_RECORD, sizeof (TARGET_RECORD) - 1);
       GBytes *after = g_bytes_new_static (text, sizeof (text) - 1);
-      jd_platform_record_is_same (NULL, "servers/odd", before, after);
+      jd_platform_is_heartbeat (registry, "servers/odd", before, after);
       g_bytes_unref (before);
       g_bytes_unref (after);
       CU_ASSERT_TRUE (jd_replica_registry_count (registry) <= 2);
@@ -267,15 +267,25 @@
   jd_replica_registry_free (registry);
 }
 
+#define ENTRY(fields)                                                                    \
+  "{\"service\":\"s\",\"zone\":\"a\",\"address\":\"127.0.0.1:9\",\"slots\":2,\"born\":"  \
+  "5," fields "}"
+#define READY "\"state\":\"ready\""
+
+/* Applies a record and returns TRUE if the next one is taken for a heartbeat. */
 static bool
-is_same (const char *key, const char *before, const char *after)
+is_heartbeat (const char *before, const char *after)
 {
+  jd_replica_registry_t *registry = new_registry ();
   GBytes *before_bytes = g_bytes_new (before, strlen (before));
   GBytes *after_bytes = g_bytes_new (after, strlen (after));
-  bool same = jd_platform_record_is_same (NULL, key, before_bytes, after_bytes);
+  jd_platform_apply_target (registry, "servers/i", before, strlen (before));
+  bool result =
+      jd_platform_is_heartbeat (registry, "servers/i", before_bytes, after_bytes);
   g_bytes_unref (before_bytes);
   g_bytes_unref (after_bytes);
-  return same;
+  jd_replica_registry_free (registry);
+  return result;
 }
 
 /* Guards against a heartbeat of a target that is copied to all hosts as a change, and
@@ -283,18 +293,38 @@
 static void
 heartbeats_are_not_changes (void)
 {
-  const char *record = "{\"service\":\"s\",\"seq\":1,\"coldLeftMs\":900}";
-  CU_ASSERT_TRUE (is_same ("servers/i", record,
-                           "{\"service\":\"s\",\"seq\":2,"
-                           "\"coldLeftMs\":500}"));
-  CU_ASSERT_FALSE (is_same ("servers/i", record,
-                            "{\"service\":\"t\",\"seq\":2,"
-                            "\"coldLeftMs\":500}"));
-  CU_ASSERT_FALSE (is_same ("servers/i", record,
-                            "{\"service\":\"s\",\"seq\":2,"
-                            "\"coldLeftMs\":3000}"));
-  CU_ASSERT_FALSE (is_same ("servers/i", record, "not json"));
-  CU_ASSERT_FALSE (is_same ("op/config", "{\"seq\":1}", "{\"seq\":2}"));
+  const char *record = ENTRY (READY ",\"seq\":1,\"coldLeftMs\":900");
+  CU_ASSERT_TRUE (is_heartbeat (record, ENTRY (READY ",\"seq\":2,\"coldLeftMs\":500")));
+  CU_ASSERT_TRUE (is_heartbeat (record, ENTRY (READY ",\"seq\":2")));
+  CU_ASSERT_FALSE (is_heartbeat (
+      record, ENTRY ("\"state\":\"draining\",\"seq\":2,\"coldLeftMs\":500")));
+  CU_ASSERT_FALSE (is_heartbeat (record, ENTRY (READY ",\"seq\":2,\"coldLeftMs\":3000")));
+  CU_ASSERT_FALSE (
+      is_heartbeat (record, ENTRY (READY ",\"seq\":2,\"coldLeftMs\":500,\"new\":1")));
+  CU_ASSERT_FALSE (is_heartbeat (record, "not json"));
+}
+
+/* Guards against a target that is never used again: a valid record that follows one that
+ * was refused is no heartbeat, and neither is a refused one after a valid one
+ * (review/11). */
+static void
+odd_record_is_no_heartbeat (void)
+{
+  static const char *const odd[] = {
+    ENTRY (READY),
+    ENTRY (READY ",\"seq\":\"1\""),
+    ENTRY (READY ",\"seq\":1.5"),
+    ENTRY (READY ",\"seq\":1,\"coldLeftMs\":\"0\""),
+    ENTRY (READY ",\"seq\":1,\"coldLeftMs\":-1"),
+    ENTRY (READY ",\"seq\":1,\"coldLeftMs\":1e300"),
+  };
+  const char *valid = ENTRY (READY ",\"seq\":2");
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      CU_ASSERT_FALSE (is_heartbeat (odd[i], valid));
+      CU_ASSERT_FALSE (is_heartbeat (valid, odd[i]));
+      CU_ASSERT_TRUE (is_heartbeat (odd[i], odd[i]));
+    }
 }
 
 /* Guards against a value from an older copy of the store that replaces a newer one, and
@@ -347,6 +377,7 @@
     { "corrupt target records do no harm", corrupt_target_records_do_no_harm },
     { "routes are open only without tenants", routes_are_open_only_without_tenants },
     { "heartbeats are not changes", heartbeats_are_not_changes },
+    { "odd record is no heartbeat", odd_record_is_no_heartbeat },
   };
   return JD_TEST_RUN ("published_records", cases);
 }
