fix(routing): compare the end of a cold start, not its remaining time

Cause: a record whose remaining cold time is not longer than that of the record before was a heartbeat. A host that copies hears of no heartbeats and compares with the record of the first cold start. A cold start that begins again within the former one was missed on each host.

Ruled out: the division of the cold limit, which holds in the first cold time.

The end of the cold start that a record tells of is now compared with the end that the host knows.

--- a/src/routing/replica_registry.c
+++ b/src/routing/replica_registry.c
@@ -13,6 +13,9 @@
  * leaving target may serve for many seconds after its record was removed, and a store
  * that was down lists live targets again later. */
 #define NOTICE_RETENTION_US (600 * JD_US_PER_S)
+/* A cold start that seems to end up to this much later is the one that is known. Hosts
+ * read the entries of a target with different delays. */
+#define COLD_TOLERANCE_US (500 * JD_US_PER_MS)
 /* Until the settings are known. */
 #define DEFAULT_DRAIN_LIMIT_US (3 * JD_US_PER_S)
 
@@ -283,16 +286,18 @@
     registry->events.on_added (registry->events.context, replica);
 }
 
-/* Returns TRUE if this host has the replica that a published entry describes. Its cold
- * start is left out. */
+/* Returns TRUE if a published entry would change nothing: this host has its replica, and
+ * knows of its cold start. */
 bool
 jd_replica_registry_matches (const jd_replica_registry_t *registry,
-                             const jd_replica_spec_t *spec)
+                             const jd_replica_spec_t *spec, int64_t now_us)
 {
   const jd_replica_t *replica = g_hash_table_lookup (registry->by_id, spec->id);
   return replica && !is_other_process (replica, spec) &&
          replica->draining == spec->draining &&
-         (spec->slots == 0 || replica->slots == spec->slots);
+         (spec->slots == 0 || replica->slots == spec->slots) &&
+         (spec->cold_left_us == 0 ||
+          now_us + spec->cold_left_us <= replica->cold_until_us + COLD_TOLERANCE_US);
 }
 
 /* Removes the replica of an id that is no longer published, if it is registered. */
--- a/src/routing/replica_registry.h
+++ b/src/routing/replica_registry.h
@@ -23,7 +23,7 @@
 void jd_replica_registry_put (jd_replica_registry_t *registry,
                               const jd_replica_spec_t *spec, int64_t now_us);
 bool jd_replica_registry_matches (const jd_replica_registry_t *registry,
-                                  const jd_replica_spec_t *spec);
+                                  const jd_replica_spec_t *spec, int64_t now_us);
 void jd_replica_registry_remove (jd_replica_registry_t *registry, const char *id,
                                  int64_t now_us);
 void jd_replica_registry_set_zone_drained (jd_replica_registry_t *registry,
--- a/test/random/test_target_records.c
+++ b/test/random/test_target_records.c
@@ -15,6 +15,9 @@
 #define STEPS 80
 #define TARGETS 3U
 #define HOSTS 2U
+/* Cold starts are long, because a run takes no time. */
+#define COLD_MS 60000U
+#define COLD_TOLERANCE_US (JD_US_PER_S)
 
 /* What the last record of a target says. */
 typedef struct jd_written_target
@@ -23,6 +26,7 @@
   bool is_odd;
   bool is_draining;
   uint32_t slots;
+  uint32_t cold_ms;
   int64_t born_ms;
   int64_t seq;
   int64_t revision;
@@ -110,11 +114,27 @@
   if (target->is_odd)
     g_string_append (text, odd_fields[draw_below (sim, G_N_ELEMENTS (odd_fields))]);
   else
-    g_string_append_printf (text, ",\"seq\":%" G_GINT64_FORMAT, target->seq);
+    g_string_append_printf (text, ",\"seq\":%" G_GINT64_FORMAT ",\"coldLeftMs\":%u",
+                            target->seq, target->cold_ms);
   g_string_append_c (text, '}');
   return g_string_free (text, FALSE);
 }
 
+/* Lets so much time pass that the cold start of a target is over. */
+static void
+warm_up (jd_sim_t *sim, uint32_t index)
+{
+  sim->targets[index].cold_ms = 0;
+  for (uint32_t i = 0; i < HOSTS; i++)
+    {
+      char id[16];
+      g_snprintf (id, sizeof (id), "%u", index);
+      jd_replica_t *replica = jd_replica_registry_find (sim->hosts[i].registry, id);
+      if (replica)
+        replica->cold_until_us = 0;
+    }
+}
+
 /* Lets a writer change a record: mostly by a heartbeat. */
 static void
 write_record (jd_sim_t *sim, uint32_t index)
@@ -123,14 +143,20 @@
   uint32_t what = draw_below (sim, 10);
   target->is_odd = what == 0;
   target->is_removed = what == 1;
+  target->cold_ms -= target->cold_ms > 0;
   if (what == 2)
     target->is_draining = !target->is_draining;
   else if (what == 3)
     target->slots = 1 + draw_below (sim, 4);
   else if (what == 4)
+    target->cold_ms = COLD_MS / 2 + draw_below (sim, COLD_MS / 2);
+  else if (what == 6)
+    warm_up (sim, index);
+  else if (what == 5)
     {
       target->born_ms++;
       target->seq = 0;
+      target->cold_ms = 0;
     }
   target->seq++;
   target->revision = ++sim->revision;
@@ -184,8 +210,11 @@
       jd_replica_registry_find (host->registry, key + strlen ("servers/"));
   if (!target->value || target->is_odd)
     return !replica;
+  int64_t cold_left_us = target->cold_ms * JD_US_PER_MS;
   return replica && replica->draining == target->is_draining &&
-         replica->slots == target->slots && replica->born_ms == target->born_ms;
+         replica->slots == target->slots && replica->born_ms == target->born_ms &&
+         (cold_left_us == 0 || replica->cold_until_us >=
+                                   jd_monotonic_us () + cold_left_us - COLD_TOLERANCE_US);
 }
 
 static void
@@ -234,7 +263,8 @@
 }
 
 /* Guards against a record that is read in two ways: as "the same" by the feed, and as
- * refused by the host that applies it (review/11). */
+ * refused, or as another cold start, by the host that applies it (review/11, review/13).
+ */
 static void
 hosts_do_what_the_last_record_says (void)
 {
