test(soak): cut a running request when a violation of graceful_stop is planted

Cause: the planted violation, a kill in place of a SIGTERM, is one only if it cuts a request that runs. Six SIGTERMs at random moments may all miss; a kill or a pause of the host before excuses it too.

Ruled out: load, the check failed alone; the check itself, which is as it was.

The run with this plant now delays the targets' answers, waits for a request that a target has just begun to run on the first host, before any other fault, and stops that host.

--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -75,6 +75,7 @@
   uint32_t host_start_number; /* The host's start count when the request was sent. */
   uint64_t arrived_at;        /* Bit N: it arrived at service N. */
   bool counted_for_rate;      /* Against the rate limit of its tenant. */
+  bool is_answered;           /* Or its connection has ended. */
   int64_t sent_us;
 } jd_soak_call_t;
 
@@ -142,10 +143,13 @@
   uint32_t violation_count;
   bool found_injected; /* A violation of the injected rule was found. */
   bool no_new_faults;
+  bool
+      has_cut_request; /* The stop for the injected violation of graceful_stop is done. */
   const char *injected_rule; /* Rule whose violation is injected; "" for none. */
 };
 
 bool jd_soak_injects (const jd_soak_t *soak, const char *rule);
+bool jd_soak_has_running_call (const jd_soak_t *soak, uint32_t host, int64_t max_age_us);
 bool jd_soak_is_undisturbed (const jd_soak_t *soak, uint32_t host, int64_t at_us);
 void jd_soak_report_violation (jd_soak_t *soak, const char *rule, const char *id,
                                const char *detail);
@@ -164,5 +168,6 @@
 void jd_soak_end_notice (jd_soak_t *soak);
 void jd_soak_set_target_faults (jd_soak_t *soak, double shed_share,
                                 uint32_t shedding_percent);
+void jd_soak_stop_host (jd_soak_t *soak, uint32_t index, int signal_number);
 void jd_soak_start_fault (jd_soak_t *soak);
 void jd_soak_end_faults (jd_soak_t *soak);
--- a/test/soak/soak_checks.c
+++ b/test/soak/soak_checks.c
@@ -264,6 +264,23 @@
   g_strfreev (stamps);
 }
 
+/* Returns TRUE if a target runs a request that a host has not answered yet, and that was
+ * sent at most max_age_us ago. */
+bool
+jd_soak_has_running_call (const jd_soak_t *soak, uint32_t host, int64_t max_age_us)
+{
+  int64_t oldest_us = jd_monotonic_us () - max_age_us;
+  for (guint i = 0; i < soak->calls->len; i++)
+    {
+      const jd_soak_call_t *call = soak->calls->pdata[i];
+      uint32_t max_at_service = 0;
+      if (call->host == host && !call->is_answered && call->sent_us >= oldest_us &&
+          count_runs (soak, call->id, &max_at_service) > 0)
+        return true;
+    }
+  return false;
+}
+
 /* Returns the newest configuration version that was published by at_us. */
 static int64_t
 version_at (const jd_soak_t *soak, int64_t at_us)
@@ -416,6 +433,7 @@
   uint32_t runs = count_runs (soak, call->id, &max_at_service);
   inject_violation (soak, call, &checked, &runs, &max_at_service);
   soak->open_calls--;
+  call->is_answered = true;
   bool is_success = reply->status == 200;
   bool is_edit = call->kind == JD_SOAK_EDIT;
   bool lacks_probed_route = call->kind == JD_SOAK_PROBE && reply->status == 404;
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -91,8 +91,8 @@
 }
 
 /* Stops a host with SIGTERM or SIGKILL; jd_soak_end_faults starts it again. */
-static void
-stop_host (jd_soak_t *soak, uint32_t index, int signal_number)
+void
+jd_soak_stop_host (jd_soak_t *soak, uint32_t index, int signal_number)
 {
   const jd_host_fixture_host_t *process = &soak->fixture.hosts[index];
   jd_soak_host_t *host = &soak->hosts[index];
@@ -273,7 +273,7 @@
   jd_soak_host_t *host = &soak->hosts[index];
   pid_t pid = soak->fixture.hosts[index].pid;
   if (kind == FAULT_KILL || kind == FAULT_TERM)
-    stop_host (soak, index, kind == FAULT_KILL ? SIGKILL : SIGTERM);
+    jd_soak_stop_host (soak, index, kind == FAULT_KILL ? SIGKILL : SIGTERM);
   else if (pid == 0 || host->stopping)
     return;
   else if (kind == FAULT_RELOAD)
--- a/test/soak/soak_main.c
+++ b/test/soak/soak_main.c
@@ -10,9 +10,31 @@
 /* All hosts must serve again within this time after the last fault; it is the bound that
  * the platform sets for a recovery from an outage. */
 #define RECOVERY_LIMIT_S 12.0
+/* Time in which a target answers until the injected stop of a host. */
+#define CUT_REQUEST_DELAY_US (300 * JD_US_PER_MS)
 /* Average number of ticks between two configuration probes. */
 #define TICKS_PER_PROBE 3
 
+/* Stops a host as soon as it has a running request, so that the request is cut: the stop
+ * is a kill if a violation of graceful_stop is injected. Targets answer late meanwhile.
+ * Returns FALSE until then; the host must be undisturbed. */
+static bool
+cut_running_request (jd_soak_t *soak)
+{
+  if (soak->has_cut_request)
+    return true;
+  /* The target does not answer for at least another half of the time. */
+  if (!jd_soak_has_running_call (soak, 0, CUT_REQUEST_DELAY_US / 2))
+    {
+      const jd_shard_faults_t faults = { .delay_us = CUT_REQUEST_DELAY_US };
+      for (uint32_t i = 0; i < soak->fixture.target_count; i++)
+        jd_shard_target_set_faults (soak->fixture.targets[i].target, &faults);
+      return false;
+    }
+  jd_soak_stop_host (soak, 0, SIGTERM);
+  return soak->has_cut_request = true;
+}
+
 /* Injects the violations that cannot be injected by changing one reply. */
 static void
 inject_state_violation (jd_soak_t *soak)
@@ -38,8 +60,10 @@
          (*soak->injected_rule == '\0' || !soak->found_injected))
     {
       inject_state_violation (soak);
+      bool waits_for_request =
+          jd_soak_injects (soak, "graceful_stop") && !cut_running_request (soak);
       jd_soak_end_faults (soak);
-      if (!soak->no_new_faults && jd_rng_below (&soak->rng, 5) == 0)
+      if (!soak->no_new_faults && !waits_for_request && jd_rng_below (&soak->rng, 5) == 0)
         jd_soak_start_fault (soak);
       for (uint64_t i = jd_rng_below (&soak->rng, 6); i > 0; i--)
         jd_soak_send_call (soak);
