fix(transport): read bytes behind running requests only while there is room

Cause: a request is admitted by what its own message holds. Bytes behind it are read later, up to 64 kB in a buffer of 128 kB, and count as bytes of the running request, so that the running requests exceed the limit themselves.

Ruled out: uploads that are being received, which give way first; answers.

Such bytes are now read while running requests hold at most a quarter of the limit. Otherwise one byte is read, which tells whether the caller has left, and reading pauses until the answer. A request is admitted by all that its connection holds, bytes behind it included.

--- a/src/daemons/host_request.c
+++ b/src/daemons/host_request.c
@@ -744,7 +744,7 @@
                                  .retry_after_us = RETRY_AFTER_MIN_US });
       return;
     }
-  if (!jd_byte_budget_admits (&host->byte_budget, jd_http_reader_held_bytes (reader),
+  if (!jd_byte_budget_admits (&host->byte_budget, jd_caller_held_bytes (caller),
                               host->max_requests))
     {
       reject (host, caller, reader,
--- a/src/limits/byte_budget.c
+++ b/src/limits/byte_budget.c
@@ -5,6 +5,9 @@
  * not keep them out. The rest is for answers and for requests that are being received. */
 #define LARGE_ADMISSION_PERCENT 75
 #define SMALL_ADMISSION_PERCENT 90
+/* The same while bytes are read that callers send behind their running requests. These
+ * can wait in the kernel; the rest is for requests that start. */
+#define BEHIND_PERCENT 25
 
 /* Initializes a budget without holders. */
 void
@@ -72,6 +75,16 @@
   return first;
 }
 
+/* Returns TRUE if some bytes that a caller has sent behind its running request may be
+ * read. They count as those of the running request, which must not be cut for them. A
+ * NULL budget has no limit. */
+bool
+jd_byte_budget_reads_behind (const jd_byte_budget_t *budget, uint64_t bytes)
+{
+  return !budget ||
+         budget->protected_bytes + bytes <= budget->limit_bytes / 100 * BEHIND_PERCENT;
+}
+
 /* Returns TRUE if a request that holds some bytes, not protected yet, may start. What all
  * running requests hold is limited, whatever their sizes, because one of them would have
  * to be cut otherwise. A request is small if max_requests of its size fit. */
--- a/src/limits/byte_budget.h
+++ b/src/limits/byte_budget.h
@@ -32,5 +32,6 @@
 void jd_byte_budget_protect (jd_byte_budget_t *budget, jd_byte_holder_t *holder,
                              bool is_protected);
 jd_byte_holder_t *jd_byte_budget_excess (const jd_byte_budget_t *budget);
+bool jd_byte_budget_reads_behind (const jd_byte_budget_t *budget, uint64_t bytes);
 bool jd_byte_budget_admits (const jd_byte_budget_t *budget, uint64_t bytes,
                             uint32_t max_requests);
--- a/src/transport/caller_server.c
+++ b/src/transport/caller_server.c
@@ -53,7 +53,8 @@
   jd_caller_path_t path;    /* Of the last request. */
   jd_byte_holder_t held;
   void *user_data;
-  bool busy;    /* A request has been read and is not answered yet. */
+  bool busy;              /* A request has been read and is not answered yet. */
+  bool is_reading_paused; /* Until the running request is answered. */
   bool closing; /* Discard input; close the write side once the output is sent. */
   bool write_closed;
   bool continue_sent;
@@ -120,6 +121,15 @@
                        limits->body_bytes);
 }
 
+/* Returns the bytes that a connection holds: its request, what the caller has sent behind
+ * it, and answers that the caller has not read. */
+uint64_t
+jd_caller_held_bytes (const jd_caller_t *caller)
+{
+  return jd_http_reader_held_bytes (&caller->reader) + caller->pipelined->allocated_len +
+         caller->output->allocated_len;
+}
+
 /* Updates the bytes that a connection holds in the budget. */
 static void
 update_held_bytes (jd_caller_t *caller)
@@ -127,9 +137,7 @@
   /* A target may have run a request that was passed to the handler. */
   jd_byte_budget_protect (caller->server->budget, &caller->held, caller->busy);
   jd_byte_budget_set (caller->server->budget, &caller->held,
-                      jd_http_reader_held_bytes (&caller->reader) +
-                          caller->pipelined->allocated_len +
-                          caller->output->allocated_len);
+                      jd_caller_held_bytes (caller));
 }
 
 /* Waits for input unless too many bytes are pending, and for write space if output is
@@ -138,7 +146,8 @@
 update_watched_events (jd_caller_t *caller)
 {
   int events = 0;
-  if (caller->pipelined->len < PIPELINED_LIMIT_BYTES)
+  caller->is_reading_paused &= caller->busy;
+  if (caller->pipelined->len < PIPELINED_LIMIT_BYTES && !caller->is_reading_paused)
     events |= EV_READ;
   if (caller->output->len > caller->output_sent)
     events |= EV_WRITE;
@@ -332,6 +341,20 @@
   process_pending (caller);
 }
 
+/* Returns how many bytes are read at a time. Behind a running request it is one while
+ * the budget has no room, which is enough to notice that the caller has left; reading
+ * then pauses. */
+static size_t
+read_size (jd_caller_t *caller)
+{
+  /* The buffer doubles its size when it grows. */
+  uint64_t growth_bytes = caller->pipelined->allocated_len + 2 * READ_BYTES;
+  if (!caller->busy || jd_byte_budget_reads_behind (caller->server->budget, growth_bytes))
+    return READ_BYTES;
+  caller->is_reading_paused = true;
+  return 1;
+}
+
 /* Event loop callback: reads input and sends output. */
 static void
 on_caller_io (struct ev_loop *loop, ev_io *io, int events)
@@ -340,7 +363,7 @@
   if (events & EV_READ)
     {
       char data[READ_BYTES];
-      ssize_t size = recv (caller->fd, data, sizeof (data), 0);
+      ssize_t size = recv (caller->fd, data, read_size (caller), 0);
       if (size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR))
         {
           caller_close (caller);
--- a/src/transport/caller_server.h
+++ b/src/transport/caller_server.h
@@ -44,6 +44,7 @@
 void jd_caller_server_close_idle (jd_caller_server_t *server);
 uint32_t jd_caller_server_connection_count (const jd_caller_server_t *server);
 
+uint64_t jd_caller_held_bytes (const jd_caller_t *caller);
 jd_caller_path_t jd_caller_path (const jd_caller_t *caller);
 void jd_caller_set_data (jd_caller_t *caller, void *data);
 void *jd_caller_data (const jd_caller_t *caller);
--- a/test/process/test_host_uploads.c
+++ b/test/process/test_host_uploads.c
@@ -15,6 +15,7 @@
 /* Uploads that are small enough to start while long ones take most of the memory. */
 #define SHORT_UPLOAD_BYTES 16000U
 #define LONG_UPLOADS 100U
+#define DEADLINE_MS 3000U /* Of requests that may expire. */
 #define BATCH_UPLOADS 20U
 #define PATIENT_DEADLINE_MS 9000U /* All edits that start are answered within it. */
 
@@ -108,7 +109,49 @@
 static void
 running_edits_survive_short_uploads (void)
 {
-  check_uploads (LONG_UPLOADS, 4 * WORK_US, 3000);
+  check_uploads (LONG_UPLOADS, 4 * WORK_US, DEADLINE_MS);
+}
+
+/* Guards against running requests that are cut without an answer, because their callers
+ * send another one behind them, whose bytes counted as those of the running one
+ * (review/14). */
+static void
+running_requests_survive_bytes_behind_them (void)
+{
+  static jd_host_fixture_t fixture;
+  fixture = (jd_host_fixture_t){ .route_timeout_ms = 10000, .memory_mb = MEMORY_MB };
+  jd_upload_counts_t counts = { 0 };
+  jd_host_fixture_open (&fixture, 1, SHARDS);
+  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, 0, 5.0));
+  jd_host_fixture_run (&fixture, 1.0);
+  jd_shard_faults_t faults = { .delay_us = WORK_US };
+  for (size_t i = STUDIO; i < STUDIO + 2; i++)
+    jd_shard_target_set_faults (fixture.targets[i].target, &faults);
+  char *body = g_strnfill (UPLOAD_BYTES, 'b');
+  for (uint32_t i = 0; i < UPLOADS; i++)
+    {
+      char *text = g_strdup_printf (
+          "GET /fetch/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: long-%u\r\n"
+          "X-Deadline-Ms: %u\r\n" JD_HOST_FIXTURE_KEY "\r\n"
+          "POST /edit/1 HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: behind-%u\r\n"
+          "X-Deadline-Ms: %u\r\n" JD_HOST_FIXTURE_KEY "Content-Length: %u\r\n\r\n%s",
+          i, DEADLINE_MS, i, DEADLINE_MS, UPLOAD_BYTES, body);
+      counts.running++;
+      jd_host_fixture_call_async (&fixture, 0, text, 9.0, count_reply, &counts);
+      g_free (text);
+    }
+  g_free (body);
+  int64_t end_us = jd_monotonic_us () + 9 * JD_US_PER_S;
+  while (counts.running > 0 && jd_monotonic_us () < end_us)
+    jd_host_fixture_run (&fixture, 0.05);
+  printf ("served %u, rejected %u, expired %u, cut %u ", counts.served, counts.rejected,
+          counts.expired, counts.cut);
+  CU_ASSERT_EQUAL (counts.running, 0);
+  CU_ASSERT_EQUAL (counts.cut, 0);
+  CU_ASSERT_TRUE (counts.served > 0);
+  CU_ASSERT_EQUAL (counts.served + counts.rejected + counts.expired, UPLOADS);
+  CU_ASSERT_EQUAL (jd_host_fixture_stop_host (&fixture, 0, SIGTERM), 0);
+  jd_host_fixture_close (&fixture);
 }
 
 int
@@ -117,6 +160,8 @@
   static const jd_test_case_t cases[] = {
     { "running edits survive many uploads", running_edits_survive_many_uploads },
     { "running edits survive short uploads", running_edits_survive_short_uploads },
+    { "running requests survive bytes behind them",
+      running_requests_survive_bytes_behind_them },
   };
   return JD_TEST_RUN ("host_uploads", cases);
 }
--- a/test/unit/test_byte_budget.c
+++ b/test/unit/test_byte_budget.c
@@ -108,6 +108,48 @@
     }
 }
 
+/* Guards against a running request that is cut because of the bytes that callers send
+ * behind their requests (review/14). */
+static void
+bytes_behind_requests_fit_too (void)
+{
+  for (uint64_t seed = 1; seed <= 50; seed++)
+    {
+      jd_philox_t philox = { .seed = seed };
+      jd_rng_t rng = jd_philox_rng (&philox);
+      static jd_byte_holder_t running[RUNNING_MAX];
+      memset (running, 0, sizeof (running));
+      jd_byte_budget_t budget;
+      jd_byte_budget_init (&budget, 1000000);
+      uint32_t admitted = 0, read = 0;
+      for (uint32_t i = 0; i < 4 * RUNNING_MAX; i++)
+        {
+          jd_byte_holder_t *holder = &running[jd_rng_below (&rng, RUNNING_MAX)];
+          uint64_t bytes = 1 + jd_rng_below (&rng, holder->is_protected ? 30000 : 2000);
+          if (holder->is_protected && jd_rng_unit (&rng) < 0.1)
+            {
+              jd_byte_budget_protect (&budget, holder, false);
+              jd_byte_budget_set (&budget, holder, 0);
+            }
+          else if (holder->is_protected && jd_byte_budget_reads_behind (&budget, bytes))
+            {
+              read++;
+              jd_byte_budget_set (&budget, holder, holder->bytes + bytes);
+            }
+          else if (!holder->is_protected &&
+                   jd_byte_budget_admits (&budget, bytes, RUNNING_MAX))
+            {
+              admitted++;
+              jd_byte_budget_set (&budget, holder, bytes);
+              jd_byte_budget_protect (&budget, holder, true);
+            }
+          CU_ASSERT_PTR_NULL (jd_byte_budget_excess (&budget));
+        }
+      CU_ASSERT_TRUE (admitted > RUNNING_MAX / 10);
+      CU_ASSERT_TRUE (read > 0);
+    }
+}
+
 int
 main (void)
 {
@@ -117,6 +159,7 @@
     { "large requests start with room only", large_requests_start_with_room_only },
     { "admitted requests fit whatever their sizes",
       admitted_requests_fit_whatever_their_sizes },
+    { "bytes behind requests fit too", bytes_behind_requests_fit_too },
   };
   return JD_TEST_RUN ("byte_budget", cases);
 }
