fix(daemons): apply a changed limit for changes without a restart

A host whose drain-ms or config-ms was lowered at run time kept to the new drain limit for holds, but learned of changes by the limit of its start.

Cause: the time budget of the records was computed once, beside limits that are applied again.

All limits of the record source are now one structure, which is applied at the start and after each change of the settings; the next step is planned anew.

process_test_record_source, "changed limit applies without a restart": fails without the new plan, passes now.

--- a/src/daemons/host.c
+++ b/src/daemons/host.c
@@ -400,6 +400,18 @@
     }
 }
 
+/* Returns the limits of the settings for the published records. */
+static jd_record_source_limits_t
+record_source_limits (const jd_host_settings_t *settings)
+{
+  return (jd_record_source_limits_t){
+    .change_limit_us = MIN (settings->drain_limit_us, settings->config_limit_us),
+    .max_removed_share = settings->max_removed_share,
+    .store_stable_us = settings->store_stable_us,
+    .drain_limit_us = settings->drain_limit_us,
+  };
+}
+
 /* Applies the settings that may change while the host runs. */
 static void
 apply_runtime_settings (jd_host_t *host, const jd_host_settings_t *settings)
@@ -408,11 +420,7 @@
   host->retry_slack = settings->retry_slack;
   host->retry_window_us = settings->retry_window_us;
   host->cold_slack = settings->cold_slack;
-  jd_record_source_limits_t source_limits = {
-    .max_removed_share = settings->max_removed_share,
-    .store_stable_us = settings->store_stable_us,
-    .drain_limit_us = settings->drain_limit_us,
-  };
+  jd_record_source_limits_t source_limits = record_source_limits (settings);
   jd_record_source_apply_limits (host->record_source, &source_limits);
   jd_fleet_quota_set_slack (host->quota, settings->rate_slack);
   jd_replica_registry_set_drain_limit (host->registry, settings->drain_limit_us);
@@ -536,7 +544,7 @@
     .peers = host->peers,
     .peer_port = settings->peer_port,
     .is_first_start = settings->first_start,
-    .change_limit_us = MIN (settings->drain_limit_us, settings->config_limit_us),
+    .limits = record_source_limits (settings),
     .heartbeat_interval_us = settings->heartbeat_interval_us,
     .read_store = host->platform.read_store,
     .store_context = host->platform.store_context,
--- a/src/daemons/record_source.c
+++ b/src/daemons/record_source.c
@@ -84,7 +84,7 @@
 removal_hold_us (const jd_record_source_t *source)
 {
   return MAX (REMOVAL_HOLD_MIN_US,
-              source->options.store_stable_us - source->budget.read_interval_us);
+              source->options.limits.store_stable_us - source->budget.read_interval_us);
 }
 
 /* Returns what this host has seen of the store itself. */
@@ -120,13 +120,13 @@
                                 jd_monotonic_us () + REMOVAL_HOLD_MIN_US);
 }
 
-/* Sets how many removals at a time are believed, as a share of all records, and the
- * times that decide on it. */
-void
-jd_record_source_apply_limits (jd_record_source_t *source,
-                               const jd_record_source_limits_t *limits)
+/* Sets the limits: the time within which changes have to be in force, how many removals
+ * at a time are believed, and the times that decide on that. */
+static void
+set_limits (jd_record_source_t *source, const jd_record_source_limits_t *limits)
 {
-  source->options.store_stable_us = limits->store_stable_us;
+  source->options.limits = *limits;
+  source->budget = jd_record_budget_new (limits->change_limit_us);
   source->contact.stable_us = limits->store_stable_us;
   source->contact.hold_us = removal_hold_us (source);
   jd_removal_doubt_t doubt = {
@@ -136,6 +136,18 @@
   jd_record_feed_set_doubt (source->options.feed, &doubt);
 }
 
+/* Applies limits that may have changed. The next step is planned anew if changes have to
+ * be in force sooner or later than before. */
+void
+jd_record_source_apply_limits (jd_record_source_t *source,
+                               const jd_record_source_limits_t *limits)
+{
+  bool is_changed = limits->change_limit_us != source->options.limits.change_limit_us;
+  set_limits (source, limits);
+  if (is_changed)
+    take_step (source);
+}
+
 /* Returns TRUE if this host reads the store and its last read succeeded recently. */
 bool
 jd_record_source_reads_store (const jd_record_source_t *source, int64_t now_us)
@@ -497,7 +509,7 @@
 {
   jd_record_source_t *source = g_new0 (jd_record_source_t, 1);
   source->options = *options;
-  source->budget = jd_record_budget_new (options->change_limit_us);
+  set_limits (source, &options->limits);
   source->started_us = jd_monotonic_us ();
   source->needs_full_copy = !options->is_first_start;
   source->contact.max_gap_us = OUTAGE_MIN_HEARTBEATS * options->heartbeat_interval_us;
--- a/src/daemons/record_source.h
+++ b/src/daemons/record_source.h
@@ -10,17 +10,25 @@
  * and a host without a peer to copy from reads the store. */
 typedef struct jd_record_source jd_record_source_t;
 
+/* Limits that may change at run time. */
+typedef struct jd_record_source_limits
+{
+  int64_t change_limit_us;  /* Time within which a change has to be in force. */
+  double max_removed_share; /* Share of the records that may vanish at a time; 1: all. */
+  int64_t store_stable_us;  /* Time after an outage until the store is trusted again. */
+  int64_t drain_limit_us;   /* Time within which a removed target must get no more
+                               requests. */
+} jd_record_source_limits_t;
+
 typedef struct jd_record_source_options
 {
   struct ev_loop *loop;
   jd_record_feed_t *feed;
   jd_peer_table_t *peers;
   uint16_t peer_port;
-  bool is_first_start;     /* All hosts start for the first time and know nothing yet. */
-  int64_t change_limit_us; /* Time within which a change has to be in force. */
+  bool is_first_start; /* All hosts start for the first time and know nothing yet. */
   int64_t heartbeat_interval_us; /* Time between two writes of a target's record. */
-  int64_t store_stable_us; /* Time after an outage until the store is trusted again; see
-                              jd_record_source_apply_limits. */
+  jd_record_source_limits_t limits;
   /* Starts a read of the store, each call of which may take call_limit_us. Its end is
    * reported to jd_record_source_on_store_read. */
   void (*read_store) (void *context, int64_t call_limit_us);
@@ -31,15 +39,6 @@
   void *context;
 } jd_record_source_options_t;
 
-/* Limits that decide which removals of records are believed at once. */
-typedef struct jd_record_source_limits
-{
-  double max_removed_share; /* Share of the records that may vanish at a time; 1: all. */
-  int64_t store_stable_us;  /* Time after an outage until the store is trusted again. */
-  int64_t drain_limit_us;   /* Time within which a removed target must get no more
-                               requests. */
-} jd_record_source_limits_t;
-
 jd_record_source_t *jd_record_source_new (const jd_record_source_options_t *options);
 void jd_record_source_free (jd_record_source_t *source);
 void jd_record_source_on_store_read (jd_record_source_t *source, bool success,
--- a/test/process/test_record_source.c
+++ b/test/process/test_record_source.c
@@ -438,7 +438,7 @@
     .peers = lone->peers,
     .peer_port = peer_port,
     .is_first_start = true,
-    .change_limit_us = change_limit_us,
+    .limits = { .change_limit_us = change_limit_us, .max_removed_share = 1.0 },
     .heartbeat_interval_us = JD_US_PER_S,
     .read_store = note_store_read,
     .on_changed = ignore_change,
@@ -609,6 +609,24 @@
   close_lone_source (&lone);
 }
 
+/* Guards against a host that learns of changes by the former limit after its settings
+ * were loaded again: it read the store too late. */
+static void
+changed_limit_applies_without_a_restart (void)
+{
+  lone_source_t lone;
+  open_lone_source (&lone, INADDR_LOOPBACK, 0, 60 * JD_US_PER_S);
+  run_first_read (&lone);
+  jd_record_source_on_store_read (lone.source, true, store_read_us);
+  const jd_record_source_limits_t limits = { .change_limit_us = LOST_LIMIT_US,
+                                             .max_removed_share = 1.0 };
+  jd_record_source_apply_limits (lone.source, &limits);
+  store_read_us = 0;
+  jd_test_run_loop (lone.loop, (double)LOST_LIMIT_US / (double)JD_US_PER_S / 2);
+  CU_ASSERT_TRUE (store_read_us > 0);
+  close_lone_source (&lone);
+}
+
 int
 main (void)
 {
@@ -616,6 +634,8 @@
     { "waits for lost sources do not add up", waits_for_lost_sources_do_not_add_up },
     { "host that gives up reading copies at once",
       host_that_gives_up_reading_copies_at_once },
+    { "changed limit applies without a restart",
+      changed_limit_applies_without_a_restart },
     { "copies carry no hold of removals", copies_carry_no_hold_of_removals },
     { "store is read soon while removals are held",
       store_is_read_soon_while_removals_are_held },
