--- a/src/limits/fleet_quota.c
+++ b/src/limits/fleet_quota.c
@@ -104,9 +104,18 @@
   GHashTable *peers; /* host -> jd_quota_peer_t */
 } jd_quota_tenant_t;
 
+/* The other hosts that may serve. */
+typedef struct jd_quota_presence
+{
+  uint32_t known;
+  uint32_t silent; /* Of them. */
+} jd_quota_presence_t;
+
 struct jd_fleet_quota
 {
-  GHashTable *hosts; /* host -> jd_quota_host_t; never removed */
+  GHashTable *hosts;            /* host -> jd_quota_host_t; never removed */
+  jd_quota_presence_t presence; /* As of presence_us. */
+  int64_t presence_us;
   jd_philox_t random;
   GHashTable *by_hash; /* tenant hash -> jd_quota_tenant_t */
   bool first_start;
@@ -231,17 +240,13 @@
          decay_factor (peer->last_report_us, last_us, ADMITTED_RATE_WINDOW_US);
 }
 
-/* The other hosts that may serve. */
-typedef struct jd_quota_presence
-{
-  uint32_t known;
-  uint32_t silent; /* Of them. */
-} jd_quota_presence_t;
-
-/* Counts the other hosts that were heard in the last PEER_EXPIRY_US. */
+/* Returns the number of other hosts that were heard in the last PEER_EXPIRY_US. They are
+ * counted for all tenants together. */
 static jd_quota_presence_t
-count_hosts (const jd_fleet_quota_t *quota, int64_t now_us)
+count_hosts (jd_fleet_quota_t *quota, int64_t now_us)
 {
+  if (now_us - quota->presence_us < PEER_SCAN_INTERVAL_US)
+    return quota->presence;
   jd_quota_presence_t presence = { 0 };
   GHashTableIter iter;
   gpointer value;
@@ -253,6 +258,8 @@
       presence.silent +=
           silence_us <= PEER_EXPIRY_US && silence_us > quota->report_timeout_us;
     }
+  quota->presence = presence;
+  quota->presence_us = now_us;
   return presence;
 }
 
@@ -260,7 +267,7 @@
  * admit requests now. Removes peers whose process was replaced or that have been silent
  * for longer than PEER_EXPIRY_US. */
 static void
-scan_peers (const jd_fleet_quota_t *quota, jd_quota_tenant_t *tenant, int64_t now_us)
+scan_peers (jd_fleet_quota_t *quota, jd_quota_tenant_t *tenant, int64_t now_us)
 {
   double admitted_per_s = tenant->steady_admitted_per_s, silent_per_s = 0.0;
   GHashTableIter iter;
@@ -324,7 +331,7 @@
  * other hosts are subtracted: if they were subtracted later from a full bucket, they
  * would cost tokens that would have been refilled in between. */
 static void
-refill (const jd_fleet_quota_t *quota, jd_quota_tenant_t *tenant, int64_t now_us)
+refill (jd_fleet_quota_t *quota, jd_quota_tenant_t *tenant, int64_t now_us)
 {
   int64_t since_us = tenant->level_updated_us;
   if (now_us <= since_us)
