test(daemons): share the setup and the checks of the upload tests

The third test repeated both from check_uploads (). The assertions are the same; the sum of all ends is now checked in one place for all three.

--- a/test/process/test_host_uploads.c
+++ b/test/process/test_host_uploads.c
@@ -56,20 +56,42 @@
   g_free (body);
 }
 
+/* Starts a host with little memory whose targets for edits take some time. */
+static void
+open_small_host (jd_host_fixture_t *fixture, int64_t work_us)
+{
+  *fixture = (jd_host_fixture_t){ .route_timeout_ms = 10000, .memory_mb = MEMORY_MB };
+  jd_host_fixture_open (fixture, 1, SHARDS);
+  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (fixture, 0, 5.0));
+  jd_host_fixture_run (fixture, 1.0);
+  jd_shard_faults_t faults = { .delay_us = work_us };
+  for (size_t i = STUDIO; i < STUDIO + 2; i++)
+    jd_shard_target_set_faults (fixture->targets[i].target, &faults);
+}
+
+/* Waits until all UPLOADS requests have ended and checks that each got an answer. */
+static void
+await_answers (jd_host_fixture_t *fixture, const jd_upload_counts_t *counts)
+{
+  int64_t end_us = jd_monotonic_us () + 9 * JD_US_PER_S;
+  while (counts->running > 0 && jd_monotonic_us () < end_us)
+    jd_host_fixture_run (fixture, 0.05);
+  printf ("served %u, rejected %u, expired %u, cut %u ", counts->served, counts->rejected,
+          counts->expired, counts->cut);
+  CU_ASSERT_EQUAL (counts->running, 0);
+  CU_ASSERT_EQUAL (counts->cut, 0);
+  CU_ASSERT_TRUE (counts->served > 0);
+  CU_ASSERT_EQUAL (counts->served + counts->rejected + counts->expired, UPLOADS);
+}
+
 /* Starts UPLOADS edits at a host with little memory, first long ones and then short ones,
  * and checks that each is answered and that a rejected one has not run. */
 static void
 check_uploads (uint32_t long_uploads, int64_t work_us, uint32_t deadline_ms)
 {
   static jd_host_fixture_t fixture;
-  fixture = (jd_host_fixture_t){ .route_timeout_ms = 10000, .memory_mb = MEMORY_MB };
   jd_upload_counts_t counts = { 0 };
-  jd_host_fixture_open (&fixture, 1, SHARDS);
-  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, 0, 5.0));
-  jd_host_fixture_run (&fixture, 1.0);
-  jd_shard_faults_t faults = { .delay_us = work_us };
-  for (size_t i = STUDIO; i < STUDIO + 2; i++)
-    jd_shard_target_set_faults (fixture.targets[i].target, &faults);
+  open_small_host (&fixture, work_us);
   for (uint32_t i = 0; i < UPLOADS; i++)
     {
       start_upload (&fixture, i, i < long_uploads ? UPLOAD_BYTES : SHORT_UPLOAD_BYTES,
@@ -78,16 +100,8 @@
       if (i + 1 >= long_uploads && i % BATCH_UPLOADS == 0)
         jd_host_fixture_run (&fixture, 0.05);
     }
-  int64_t end_us = jd_monotonic_us () + 9 * JD_US_PER_S;
-  while (counts.running > 0 && jd_monotonic_us () < end_us)
-    jd_host_fixture_run (&fixture, 0.05);
-  printf ("served %u, rejected %u, expired %u, cut %u ", counts.served, counts.rejected,
-          counts.expired, counts.cut);
-  CU_ASSERT_EQUAL (counts.running, 0);
-  CU_ASSERT_EQUAL (counts.cut, 0);
-  CU_ASSERT_TRUE (counts.served > 0);
+  await_answers (&fixture, &counts);
   CU_ASSERT_TRUE (counts.rejected > 0);
-  CU_ASSERT_EQUAL (counts.served + counts.rejected + counts.expired, UPLOADS);
   CU_ASSERT_TRUE (counts.expired == 0 || deadline_ms < PATIENT_DEADLINE_MS);
   uint32_t runs = jd_shard_target_total_run_count (fixture.targets[STUDIO].target) +
                   jd_shard_target_total_run_count (fixture.targets[STUDIO + 1].target);
@@ -119,14 +133,8 @@
 running_requests_survive_bytes_behind_them (void)
 {
   static jd_host_fixture_t fixture;
-  fixture = (jd_host_fixture_t){ .route_timeout_ms = 10000, .memory_mb = MEMORY_MB };
   jd_upload_counts_t counts = { 0 };
-  jd_host_fixture_open (&fixture, 1, SHARDS);
-  CU_ASSERT_TRUE_FATAL (jd_host_fixture_wait_ready (&fixture, 0, 5.0));
-  jd_host_fixture_run (&fixture, 1.0);
-  jd_shard_faults_t faults = { .delay_us = WORK_US };
-  for (size_t i = STUDIO; i < STUDIO + 2; i++)
-    jd_shard_target_set_faults (fixture.targets[i].target, &faults);
+  open_small_host (&fixture, WORK_US);
   char *body = g_strnfill (UPLOAD_BYTES, 'b');
   for (uint32_t i = 0; i < UPLOADS; i++)
     {
@@ -141,15 +149,7 @@
       g_free (text);
     }
   g_free (body);
-  int64_t end_us = jd_monotonic_us () + 9 * JD_US_PER_S;
-  while (counts.running > 0 && jd_monotonic_us () < end_us)
-    jd_host_fixture_run (&fixture, 0.05);
-  printf ("served %u, rejected %u, expired %u, cut %u ", counts.served, counts.rejected,
-          counts.expired, counts.cut);
-  CU_ASSERT_EQUAL (counts.running, 0);
-  CU_ASSERT_EQUAL (counts.cut, 0);
-  CU_ASSERT_TRUE (counts.served > 0);
-  CU_ASSERT_EQUAL (counts.served + counts.rejected + counts.expired, UPLOADS);
+  await_answers (&fixture, &counts);
   CU_ASSERT_EQUAL (jd_host_fixture_stop_host (&fixture, 0, SIGTERM), 0);
   jd_host_fixture_close (&fixture);
 }
